--- a/cmd/simhost/main.go
+++ b/cmd/simhost/main.go
@@ -12,8 +12,8 @@
 	"strings"
 	"time"
 
-	"dahliasail.example/dahliasail/internal/wire"
-	"dahliasail.example/dahliasail/policy"
+	"quincerail.example/quincerail/internal/wire"
+	"quincerail.example/quincerail/policy"
 )
 
 func main() {
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -9,7 +9,7 @@
 	"strings"
 	"time"
 
-	"dahliasail.example/dahliasail/policy"
+	"quincerail.example/quincerail/policy"
 )
 
 // Message is one line: a name and its fields.
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -5,7 +5,7 @@
 	"testing"
 	"time"
 
-	"dahliasail.example/dahliasail/policy"
+	"quincerail.example/quincerail/policy"
 )
 
 func TestParseRequest(t *testing.T) {
--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -4,7 +4,7 @@
 	"fmt"
 	"time"
 
-	"dahliasail.example/dahliasail/policy"
+	"quincerail.example/quincerail/policy"
 )
 
 // printer is a host that prints the actions on requests.
--- /dev/null
+++ b/program/config.go
@@ -0,0 +1,92 @@
+// Package program wires the app server together: its configuration, the links
+// to the parties around it, the fronts, signals and the way out.
+package program
+
+import (
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/tidwall/gjson"
+
+	"quincerail.example/quincerail/internal/wire"
+	"quincerail.example/quincerail/policy"
+)
+
+// Config is what the app server is told.
+type Config struct {
+	Name, Listen                string
+	Processor, Announce, Ledger string
+	Seed                        int64
+	Stop                        time.Duration // from the notice to leave to the kill
+	Cores                       float64
+	MemoryMB                    int
+	Sockets                     int
+	Classes                     []string
+	Settings                    policy.Settings
+	Gauges                      []string // names, in the order in which the processor gives them
+}
+
+// LoadConfig reads the configuration file. An error names the key at fault.
+func LoadConfig(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("GW_CONFIG: %w", err)
+	}
+	return ParseConfig(string(text))
+}
+
+// ParseConfig reads a configuration. An error names the key at fault.
+func ParseConfig(text string) (*Config, error) {
+	if !gjson.Valid(text) || !gjson.Parse(text).IsObject() {
+		return nil, fmt.Errorf("GW_CONFIG: not a JSON object")
+	}
+	var err error
+	fault := func(key, want string) {
+		if err == nil {
+			err = fmt.Errorf("%s: %s wanted", key, want)
+		}
+	}
+	str := func(key string) string {
+		v := gjson.Get(text, key)
+		if v.Type != gjson.String || v.Str == "" {
+			fault(key, "a text")
+		}
+		return v.Str
+	}
+	num := func(key string) float64 {
+		v := gjson.Get(text, key)
+		if v.Type != gjson.Number || !(v.Num > 0 && v.Num < 1e12) {
+			fault(key, "a number above 0")
+		}
+		return v.Num
+	}
+	c := &Config{Name: str("name"), Listen: str("listen"), Processor: str("processor"),
+		Announce: str("announce"), Ledger: str("ledger"),
+		Stop:  time.Duration(num("stop_ms") * float64(time.Millisecond)),
+		Cores: num("limits.cores"), MemoryMB: int(num("limits.memory_mb")), Sockets: int(num("limits.sockets"))}
+	seed, e := strconv.ParseUint(str("seed"), 16, 64)
+	if e != nil {
+		fault("seed", "a number in hex")
+	}
+	c.Seed = int64(seed)
+	settings := gjson.Get(text, "settings")
+	if !settings.IsObject() {
+		fault("settings", "an object")
+	}
+	if err != nil {
+		return nil, err
+	}
+	if c.Settings, err = wire.Settings(settings.Raw); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	c.Settings.Fresh = 0 // reads are not shared here: no site asks for it
+	for _, lane := range settings.Get("lanes").Array() {
+		c.Classes = append(c.Classes, lane.Get("name").String())
+	}
+	for _, name := range settings.Get("familyInfo.ownStats").Array() {
+		c.Gauges = append(c.Gauges, name.String())
+	}
+	return c, nil
+}
--- /dev/null
+++ b/program/ledger.go
@@ -0,0 +1,149 @@
+package program
+
+import (
+	"bufio"
+	"net"
+	"sync"
+	"time"
+
+	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/protocol/ledger"
+	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/transport"
+)
+
+const (
+	ledgerConns  = 4
+	ledgerIdle   = 8 * time.Second // the ledger closes after 10; a call must not cross that
+	ledgerDialIn = time.Second
+)
+
+// ledgerPool makes the calls, over connections that each carry many. The calls
+// of one run go over one after the other of them, so that the late reply to a
+// call that was given up can't be taken for the next one's.
+type ledgerPool struct {
+	core    *routing.Core
+	address string
+
+	mu    sync.Mutex
+	slots [ledgerConns]*ledgerConn
+	where map[string]*ledgerConn // of the call that is out
+	next  int
+}
+
+// ledgerConn is one connection, which may still be dialled.
+type ledgerConn struct {
+	conn  *transport.Conn // nil until it is open
+	ended bool
+	calls map[string]*ledgerCall
+}
+
+type ledgerCall struct {
+	number int
+	wait   time.Duration
+	body   []byte
+}
+
+func newLedgerPool(address string) *ledgerPool {
+	return &ledgerPool{address: address, where: make(map[string]*ledgerConn)}
+}
+
+// Call implements routing.Dependency.
+func (l *ledgerPool) Call(id string, number int, wait time.Duration, body []byte) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.next++
+	slot := &l.slots[(l.next)%ledgerConns]
+	if previous := l.where[id]; previous != nil && previous == *slot {
+		slot = &l.slots[(l.next+1)%ledgerConns]
+	}
+	k := *slot
+	if k != nil && k.conn != nil && len(k.calls) == 0 && time.Since(k.conn.IdleSince()) > ledgerIdle {
+		k.conn.Close()
+		k = nil
+	}
+	if k == nil || k.ended {
+		k = &ledgerConn{calls: make(map[string]*ledgerCall)}
+		*slot = k
+		go l.open(k)
+	}
+	k.calls[id] = &ledgerCall{number, wait, body}
+	l.where[id] = k
+	if k.conn != nil {
+		k.conn.Send(ledger.AppendPost(nil, id, wait, body))
+	}
+}
+
+// Abandon implements routing.Dependency.
+func (l *ledgerPool) Abandon(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	k := l.where[id]
+	if k == nil || k.calls[id] == nil {
+		return
+	}
+	delete(k.calls, id)
+	delete(l.where, id)
+	if k.conn != nil {
+		k.conn.Send(ledger.AppendAbandon(nil, id))
+	}
+}
+
+// open dials a connection and works it until it ends. Calls that never left
+// for a refused connection never ran; of those on one that broke nothing is known.
+func (l *ledgerPool) open(k *ledgerConn) {
+	nc, err := net.DialTimeout("tcp", l.address, ledgerDialIn)
+	if err != nil {
+		l.end(k, policy.ConnectFailed)
+		return
+	}
+	l.mu.Lock()
+	k.conn = transport.NewConn(nc)
+	for id, call := range k.calls {
+		k.conn.Send(ledger.AppendPost(nil, id, call.wait, call.body))
+	}
+	l.mu.Unlock()
+	k.conn.Serve(func(r *bufio.Reader) error {
+		reply, err := ledger.Read(r)
+		if err != nil {
+			return err
+		}
+		l.take(k, reply)
+		return nil
+	})
+	l.end(k, policy.Reset)
+}
+
+func (l *ledgerPool) take(k *ledgerConn, reply ledger.Reply) {
+	l.mu.Lock()
+	call := k.calls[reply.ID]
+	if call != nil {
+		delete(k.calls, reply.ID)
+		if l.where[reply.ID] == k {
+			delete(l.where, reply.ID)
+		}
+	}
+	l.mu.Unlock()
+	if call == nil { // to a call that was given up
+		return
+	}
+	end := map[ledger.Status]routing.CallEnd{ledger.Posted: policy.OK, ledger.QueueFull: policy.Full,
+		ledger.Errored: policy.Errored, ledger.Expired: policy.TimedOut, ledger.Moot: policy.Moot}[reply.Status]
+	l.core.Called(reply.ID, call.number, end, reply.Body)
+}
+
+func (l *ledgerPool) end(k *ledgerConn, end routing.CallEnd) {
+	l.mu.Lock()
+	k.ended = true
+	calls := k.calls
+	k.calls = make(map[string]*ledgerCall)
+	for id := range calls {
+		if l.where[id] == k {
+			delete(l.where, id)
+		}
+	}
+	l.mu.Unlock()
+	for id, call := range calls {
+		l.core.Called(id, call.number, end, nil)
+	}
+}
--- /dev/null
+++ b/program/processor.go
@@ -0,0 +1,235 @@
+package program
+
+import (
+	"bufio"
+	"context"
+	"log"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/protocol/processor"
+	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/transport"
+)
+
+// command is one that the processor may not have read yet.
+type command struct {
+	text  []byte
+	id    string
+	kind  commandKind
+	after uint64 // number of the usage question that was sent before it
+	sent  bool
+}
+
+type commandKind int
+
+const (
+	begin commandKind = iota
+	interrupt
+	resume // answer or without
+)
+
+// processorLink is the backend that the processor is. A link that breaks may
+// have lost what was written last, so commands are kept until the answer to a
+// later question, or a notice of their run, proves that they were read. On a
+// new link what is not proven is sent again, once all missed notices are in.
+type processorLink struct {
+	core   *routing.Core
+	gauges []string
+
+	mu       sync.Mutex
+	conn     *transport.Conn // nil while there is no link in order
+	last     uint64          // number of the last notice read
+	asked    uint64          // number of the last question
+	pending  []command
+	usages   map[uint64]func(policy.Gauges)
+	trials   map[string]func(bool)
+	marker   uint64 // the question whose answer shows that all missed notices are in
+	greeting *transport.Conn
+}
+
+func newProcessorLink(gauges []string) *processorLink {
+	return &processorLink{gauges: gauges, usages: make(map[uint64]func(policy.Gauges)), trials: make(map[string]func(bool))}
+}
+
+// run keeps the link until ctx ends.
+func (p *processorLink) run(ctx context.Context, address string) {
+	transport.KeepLink(ctx, address, p.opened, func(err error) {
+		p.mu.Lock()
+		p.conn, p.greeting = nil, nil
+		clear(p.usages)
+		trials := p.trials
+		p.trials = make(map[string]func(bool))
+		p.mu.Unlock()
+		for _, reply := range trials {
+			reply(false)
+		}
+		if ctx.Err() == nil {
+			log.Printf("event=processor_link_lost error=%q", err)
+		}
+	})
+}
+
+func (p *processorLink) opened(c *transport.Conn) func(*bufio.Reader) error {
+	p.mu.Lock()
+	p.greeting = c
+	c.Send(processor.AppendHello(nil, p.last))
+	p.mu.Unlock()
+	return func(r *bufio.Reader) error {
+		n, err := processor.Read(r)
+		if err != nil {
+			return err
+		}
+		p.take(n)
+		return nil
+	}
+}
+
+// take passes a notice on. The core is told outside the lock: it may be waiting
+// for it.
+func (p *processorLink) take(n processor.Notice) {
+	p.mu.Lock()
+	switch n.Kind {
+	case processor.Complete, processor.Ask, processor.Remark:
+		if n.Number <= p.last { // sent again after a break
+			p.mu.Unlock()
+			return
+		}
+		p.last = n.Number
+	}
+	tell := func() {}
+	switch n.Kind {
+	case processor.Hi:
+		p.asked++
+		p.marker = p.asked
+		p.greeting.Send(processor.AppendUsage(nil, strconv.FormatUint(p.marker, 10)))
+		tell = func() { p.core.Started(n.Word == "new", n.Took) }
+	case processor.Complete:
+		p.proven(func(c command) bool { return c.id == n.ID })
+		end, known := map[string]routing.End{"good": routing.Good, "bad": routing.Bad,
+			"cut": routing.Cut, "gone": routing.Unborn}[n.Word]
+		if !known {
+			end = routing.Bad
+		}
+		tell = func() { p.core.Completed(n.ID, end, n.Took, routing.Payload{Body: n.Payload}) }
+	case processor.Ask:
+		p.proven(func(c command) bool { return c.id == n.ID && c.kind != interrupt })
+		tell = func() { p.core.Asked(n.ID, n.Number, n.Payload) }
+	case processor.Used:
+		tag, _ := strconv.ParseUint(n.Tag, 10, 64)
+		p.proven(func(c command) bool { return c.after < tag })
+		if p.greeting != nil && tag == p.marker {
+			p.conn, p.greeting = p.greeting, nil
+			p.resend()
+		}
+		if reply := p.usages[tag]; reply != nil {
+			delete(p.usages, tag)
+			tell = func() { reply(p.reading(n.Gauges)) }
+		}
+	case processor.Tried:
+		if reply := p.trials[n.Tag]; reply != nil {
+			delete(p.trials, n.Tag)
+			tell = func() { reply(n.Word == "good") }
+		}
+	case processor.Reject:
+		log.Printf("event=processor_reject command=%s id=%s", n.Word, n.ID)
+		if n.Word == "begin" {
+			tell = func() { p.core.Completed(n.ID, routing.Bad, 0, routing.Payload{}) }
+		}
+	}
+	p.mu.Unlock()
+	tell()
+}
+
+// proven drops the sent commands that the processor has read.
+func (p *processorLink) proven(read func(command) bool) {
+	p.pending = slices.DeleteFunc(p.pending, func(c command) bool { return c.sent && read(c) })
+}
+
+// resend sends what may have been lost, and what came while there was no link.
+func (p *processorLink) resend() {
+	for i := range p.pending {
+		p.pending[i].sent, p.pending[i].after = true, p.asked
+		p.conn.Send(p.pending[i].text)
+	}
+}
+
+func (p *processorLink) reading(values []float64) policy.Gauges {
+	g := policy.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}
+	for i, name := range p.gauges {
+		if i >= len(values) {
+			break
+		}
+		switch name {
+		case "core_use":
+			g.CoreUse = values[i]
+		case "on_cores":
+			g.OnCores = values[i]
+		case "heap_share":
+			g.Memory = values[i]
+		case "links":
+			g.Conns = values[i]
+		}
+	}
+	return g
+}
+
+func (p *processorLink) command(kind commandKind, id string, text []byte) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := command{text: text, id: id, kind: kind, after: p.asked}
+	if p.conn != nil {
+		c.sent = true
+		p.conn.Send(text)
+	}
+	p.pending = append(p.pending, c)
+}
+
+// Begin implements routing.Backend.
+func (p *processorLink) Begin(r routing.Run) {
+	p.command(begin, r.ID, processor.AppendBegin(nil, r.ID, r.Class, r.Payload.Body))
+}
+
+// Interrupt implements routing.Backend.
+func (p *processorLink) Interrupt(id string) {
+	p.command(interrupt, id, processor.AppendInterrupt(nil, id))
+}
+
+// Answer implements routing.Backend.
+func (p *processorLink) Answer(id string, reply []byte) {
+	p.command(resume, id, processor.AppendAnswer(nil, id, reply))
+}
+
+// Without implements routing.Backend.
+func (p *processorLink) Without(id string, notice uint64) {
+	p.command(resume, id, processor.AppendWithout(nil, id, notice))
+}
+
+// Usage implements routing.Machine. Without a link there is no reply.
+func (p *processorLink) Usage(reply func(policy.Gauges)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == nil {
+		return
+	}
+	p.asked++
+	p.usages[p.asked] = reply
+	p.conn.Send(processor.AppendUsage(nil, strconv.FormatUint(p.asked, 10)))
+}
+
+// Trial implements routing.Machine.
+func (p *processorLink) Trial(reply func(good bool)) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conn == nil {
+		time.AfterFunc(0, func() { reply(false) }) // the caller must not be called back from within
+		return
+	}
+	p.asked++
+	tag := strconv.FormatUint(p.asked, 10)
+	p.trials[tag] = reply
+	p.conn.Send(processor.AppendTrial(nil, tag))
+}
--- /dev/null
+++ b/program/thrift.go
@@ -0,0 +1,208 @@
+package program
+
+import (
+	"bufio"
+	"fmt"
+	"strconv"
+	"sync"
+	"time"
+
+	"quincerail.example/quincerail/protocol/thrift"
+	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/transport"
+)
+
+const maxOpen = 32 // requests on one connection
+
+// thriftFront is the front for the balancers' protocol.
+type thriftFront struct {
+	core  *routing.Core
+	mu    sync.Mutex
+	conns map[*transport.Conn]*thriftConn
+}
+
+// thriftConn is one connection of a balancer.
+type thriftConn struct {
+	core *routing.Core
+	conn *transport.Conn
+
+	mu      sync.Mutex
+	open    map[string]int32 // sequence number by request id
+	ids     map[int32]string
+	last    int32
+	leaving time.Time // when that was said; zero before
+}
+
+func newThriftFront(core *routing.Core) *thriftFront {
+	return &thriftFront{core: core, conns: make(map[*transport.Conn]*thriftConn)}
+}
+
+// serve works one connection. Requests still open when it ends have no caller.
+func (f *thriftFront) serve(c *transport.Conn) {
+	t := &thriftConn{core: f.core, conn: c, open: make(map[string]int32), ids: make(map[int32]string)}
+	f.mu.Lock()
+	f.conns[c] = t
+	f.mu.Unlock()
+	c.Serve(func(r *bufio.Reader) error {
+		m, err := thrift.Read(r)
+		if err != nil {
+			return err
+		}
+		return t.take(m)
+	})
+	f.mu.Lock()
+	delete(f.conns, c)
+	f.mu.Unlock()
+	t.mu.Lock()
+	ids := make([]string, 0, len(t.open))
+	for id := range t.open {
+		ids = append(ids, id)
+	}
+	t.mu.Unlock()
+	for _, id := range ids {
+		t.core.Gone(id)
+	}
+}
+
+func (t *thriftConn) take(m *thrift.Message) error {
+	t.mu.Lock()
+	if m.Seq <= t.last && m.Type == thrift.Call {
+		t.mu.Unlock()
+		return fmt.Errorf("%w: sequence number %d after %d", thrift.ErrBroken, m.Seq, t.last)
+	}
+	t.last = max(t.last, m.Seq)
+	t.mu.Unlock()
+	switch {
+	case m.Name == "execute" && m.Type == thrift.Call:
+		if err := t.execute(m); err != nil {
+			t.conn.Send(thrift.AppendException(nil, m.Name, m.Seq, thrift.ProtocolError, err.Error()))
+		}
+	case m.Name == "check" && m.Type == thrift.Call:
+		t.core.Check(m.Probe, func(good bool) {
+			t.conn.Send(thrift.AppendAnswer(nil, m.Name, m.Seq, thrift.Answer{Good: good}))
+		})
+	case m.Name == "interrupt" && m.Type == thrift.Oneway:
+		t.mu.Lock()
+		id, ok := t.ids[m.Target]
+		t.close(id, m.Target)
+		t.mu.Unlock()
+		if ok {
+			t.core.Gone(id)
+		}
+	case m.Type == thrift.Call:
+		t.conn.Send(thrift.AppendException(nil, m.Name, m.Seq, thrift.UnknownMethod, "unknown method"))
+	}
+	return nil
+}
+
+// execute hands a request in.
+func (t *thriftConn) execute(m *thrift.Message) error {
+	if m.Err != nil {
+		return m.Err
+	}
+	door, err := strconv.ParseInt(m.Fields["door"], 10, 64)
+	if err != nil || door < 0 || door > 1e15 {
+		return fmt.Errorf("door %q", m.Fields["door"])
+	}
+	ram, err := strconv.ParseFloat(m.Fields["ram"], 64)
+	if err != nil || !(ram > 0 && ram < 2000) {
+		return fmt.Errorf("ram %q", m.Fields["ram"])
+	}
+	rank, err := strconv.ParseFloat(m.Fields["standing"], 64)
+	if err != nil || !(rank >= 0 && rank < 1) {
+		return fmt.Errorf("standing %q", m.Fields["standing"])
+	}
+	caller, err := strconv.Atoi(m.Fields["lb"])
+	if err != nil {
+		return fmt.Errorf("lb %q", m.Fields["lb"])
+	}
+	id := m.Fields["txn"]
+	if _, err := strconv.ParseUint(id, 16, 64); err != nil || len(id) != 16 {
+		return fmt.Errorf("txn %q", id)
+	}
+	t.mu.Lock()
+	if len(t.open) >= maxOpen {
+		t.mu.Unlock()
+		return fmt.Errorf("over %d open requests", maxOpen)
+	}
+	if _, twice := t.open[id]; twice {
+		t.mu.Unlock()
+		return fmt.Errorf("txn %q is open", id)
+	}
+	t.open[id], t.ids[m.Seq] = m.Seq, id
+	t.mu.Unlock()
+	err = t.core.Submit(routing.Request{ID: id, Class: m.Fields["verb"], Key: m.Fields["unique"], Item: m.Fields["item"],
+		Door: time.UnixMilli(door), Caller: caller, HeldKB: ram, Rank: rank,
+		Payload: routing.Payload{Body: m.Body}, Sink: t})
+	if err != nil {
+		t.mu.Lock()
+		t.close(id, m.Seq)
+		t.mu.Unlock()
+	}
+	return err
+}
+
+// Answer implements routing.Sink.
+func (t *thriftConn) Answer(id string, o routing.Outcome) {
+	t.mu.Lock()
+	seq, ok := t.open[id]
+	t.close(id, seq)
+	t.mu.Unlock()
+	if !ok {
+		return
+	}
+	switch o.Kind {
+	case routing.Served:
+		t.conn.Send(thrift.AppendAnswer(nil, "execute", seq, thrift.Answer{Body: o.Result.Body, Good: true}))
+	case routing.Refused:
+		fields := make(map[string]string)
+		if ms := o.Later.Milliseconds(); ms > 0 {
+			fields["later"] = strconv.FormatInt(ms, 10)
+		}
+		if o.GiveUp {
+			fields["giveup"] = "1"
+		}
+		t.conn.Send(thrift.AppendShed(nil, seq, fields))
+	default:
+		t.conn.Send(thrift.AppendFault(nil, seq, nil))
+	}
+}
+
+// close forgets an open request. The lock is held.
+func (t *thriftConn) close(id string, seq int32) {
+	delete(t.open, id)
+	delete(t.ids, seq)
+}
+
+// leave asks that no new request comes on the connection; the balancer closes
+// it once all on it is answered. One that does not is closed when idle.
+func (t *thriftConn) leave() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.leaving.IsZero() {
+		t.leaving = time.Now()
+		t.conn.Send(thrift.AppendLeaving(nil))
+	} else if len(t.open) == 0 && time.Since(t.leaving) > leaveWithin {
+		t.conn.Close()
+	}
+}
+
+// idle tells whether nothing is open and nothing has moved for a time.
+func (t *thriftConn) idle(after time.Duration) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open) == 0 && time.Since(t.conn.IdleSince()) > after
+}
+
+// each calls f for every connection.
+func (f *thriftFront) each(do func(*thriftConn)) {
+	f.mu.Lock()
+	conns := make([]*thriftConn, 0, len(f.conns))
+	for _, t := range f.conns {
+		conns = append(conns, t)
+	}
+	f.mu.Unlock()
+	for _, t := range conns {
+		do(t)
+	}
+}
--- /dev/null
+++ b/routing/admit.go
@@ -0,0 +1,79 @@
+package routing
+
+import (
+	"time"
+
+	"quincerail.example/quincerail/policy"
+)
+
+// Admit: the module hears of a request, and says if it is turned away.
+
+func (c *Core) admit(a *attempt) {
+	earlier := ""
+	if a.Key != "" {
+		earlier = c.keys.enter(a)
+	}
+	c.module.Request(c.now, policy.Request{
+		ID: a.ID, Class: a.class, Key: a.Item, HeldKB: a.HeldKB, Rank: a.Rank, From: a.Caller,
+		Write: c.opt.Settings.Classes[a.class].Effect != policy.Safe, Waited: c.now - a.door, Earlier: earlier,
+	})
+}
+
+// Gone tells that a caller no longer waits for a request. No answer is owed.
+func (c *Core) Gone(id string) {
+	c.post(func() {
+		a := c.attempts[id]
+		if a == nil || a.answered {
+			return
+		}
+		a.answered = true
+		if c.module != nil {
+			c.module.Gone(c.now, id)
+		}
+		c.release(a)
+	})
+}
+
+// host carries out the module's actions.
+type host struct{ *Core }
+
+// Refuse turns a request away, at once.
+func (h host) Refuse(id string, stayAway time.Duration, last bool) {
+	if a := h.attempts[id]; a != nil {
+		if a.entry != nil && a.entry.ranFor(a.door) { // an effect that may have been had is never denied
+			h.book(a, h.failure(a))
+			return
+		}
+		h.book(a, Outcome{Kind: Refused, Later: stayAway, GiveUp: last})
+	}
+}
+
+// Fail answers a request with an error, at once.
+func (h host) Fail(id string) {
+	if a := h.attempts[id]; a != nil {
+		h.book(a, h.failure(a))
+	}
+}
+
+func (c *Core) failure(a *attempt) Outcome {
+	if c.now+c.opt.Settings.AnswerSlack >= a.due {
+		return Outcome{Kind: TimedOut}
+	}
+	return Outcome{Kind: Failed}
+}
+
+// Health says how checks are answered.
+func (h host) Health(on, cached bool) { h.setHealth(on, cached) }
+
+// Say has no meaning here: no answer carries a free value.
+func (h host) Say(float64) {}
+
+// CloseIdle says how long connections may idle.
+func (h host) CloseIdle(after time.Duration) {
+	if h.opt.Connections != nil {
+		h.opt.Connections.CloseIdle(after)
+	}
+}
+
+// Wake sets a timer.
+func (h host) Wake(after time.Duration, token int64) { h.wake(after, token) }
--- /dev/null
+++ b/routing/book.go
@@ -0,0 +1,43 @@
+package routing
+
+// Book: the final answer is given and remembered.
+
+// book gives a request its final answer. All answers go through here, which is
+// what guards that there is one and no more.
+func (c *Core) book(a *attempt, o Outcome) {
+	if a.answered {
+		return
+	}
+	a.answered = true
+	a.Sink.Answer(a.ID, o)
+	c.release(a)
+}
+
+// release drops an attempt of which nothing more is to come. What still runs
+// is remembered until its end is told.
+func (c *Core) release(a *attempt) {
+	if !a.answered || a.begun || c.attempts[a.ID] != a {
+		return
+	}
+	delete(c.attempts, a.ID)
+	if a.entry == nil {
+		return
+	}
+	e := a.entry
+	for _, r := range c.keys.leave(a) {
+		c.followUps = append(c.followUps, func() { c.settleRepeat(r, e) })
+	}
+}
+
+// bookRun remembers what a keyed run came to, for its repeats.
+func (c *Core) bookRun(a *attempt, end End, result Payload) {
+	if a.entry == nil || a.entry.ran != a.ID {
+		return
+	}
+	switch end {
+	case Good:
+		c.keys.store(a.entry, result)
+	case Unborn:
+		c.keys.unclaim(a)
+	}
+}
--- /dev/null
+++ b/routing/core.go
@@ -0,0 +1,220 @@
+package routing
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"time"
+
+	"quincerail.example/quincerail/policy"
+)
+
+const (
+	mailbox      = 1024                  // events that wait; more hold up the connections that bring them
+	gaugesWithin = 20 * time.Millisecond // a tick does not wait longer for its gauges
+	trialWithin  = time.Second           // nor a deep health check for its work
+	stopMargin   = 250 * time.Millisecond
+)
+
+// ErrStopped is given to what comes after the core has ended.
+var ErrStopped = errors.New("stopped")
+
+// Options are what a core is made of. Settings and Classes are required.
+type Options struct {
+	Settings    policy.Settings
+	Classes     []string // names, in the order of the settings
+	Seed        int64
+	Backend     Backend     // for requests that name none
+	Machine     Machine     // nil: no gauges, and deep checks go by the module alone
+	Dependency  Dependency  // nil: calls can't be made
+	Presence    Presence    // may be nil
+	Connections Connections // may be nil
+	KeyBytes    int         // of kept results; 0 for no bound
+}
+
+// Core carries out the module's decisions. Its methods may be called from any
+// goroutine while Run works; they only leave events.
+type Core struct {
+	opt     Options
+	classes map[string]int
+	events  chan func()
+	done    chan struct{}
+
+	// All below belongs to Run's goroutine.
+	module    *policy.Instance
+	now       time.Duration // Unix time of the batch
+	attempts  map[string]*attempt
+	keys      *keyTable
+	followUps []func() // events that the module's own actions bring
+	gauges    policy.Gauges
+	fit       bool // health as the module sets it
+	stored    bool // checks are answered from it alone
+	draining  bool
+	stopAt    time.Duration
+}
+
+// New makes a core. The error names the setting that makes no sense.
+func New(opt Options) (*Core, error) {
+	c := &Core{opt: opt, classes: make(map[string]int), events: make(chan func(), mailbox),
+		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true,
+		gauges: policy.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}}
+	if len(opt.Classes) != len(opt.Settings.Classes) {
+		return nil, fmt.Errorf("classes: %d names for %d", len(opt.Classes), len(opt.Settings.Classes))
+	}
+	for i, name := range opt.Classes {
+		if _, twice := c.classes[name]; twice || name == "" {
+			return nil, fmt.Errorf("classes: %q is empty or there twice", name)
+		}
+		c.classes[name] = i
+	}
+	if _, err := policy.New(opt.Settings, opt.Seed, host{c}); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	return c, nil
+}
+
+// Run takes events until ctx ends. All that are ready form one batch, after
+// which the module decides once.
+func (c *Core) Run(ctx context.Context) {
+	defer close(c.done)
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case event := <-c.events:
+			c.tick()
+			event()
+		}
+		for ready := true; ready; {
+			select {
+			case event := <-c.events:
+				event()
+			default:
+				ready = false
+			}
+		}
+		c.decide()
+	}
+}
+
+// tick reads the clock. It never goes back, even if the machine's does.
+func (c *Core) tick() { c.now = max(c.now, time.Duration(time.Now().UnixNano())) }
+
+// decide lets the module settle the batch, and again what that itself brought.
+func (c *Core) decide() {
+	for c.module != nil {
+		c.module.Decide(c.now)
+		if len(c.followUps) == 0 {
+			break
+		}
+		events := c.followUps
+		c.followUps = nil
+		for _, event := range events {
+			event()
+		}
+	}
+	c.keys.expire(c.now)
+}
+
+// post leaves an event for Run.
+func (c *Core) post(event func()) error {
+	select {
+	case c.events <- event:
+		return nil
+	case <-c.done:
+		return ErrStopped
+	}
+}
+
+// Started tells that the backend came up so long ago, and whether cold. The
+// module is born then: how warm it takes the cores to be counts from there.
+func (c *Core) Started(cold bool, ago time.Duration) {
+	c.post(func() {
+		if c.module != nil {
+			return
+		}
+		s := c.opt.Settings
+		s.Cold = cold
+		module, err := policy.New(s, c.opt.Seed, host{c})
+		if err != nil { // New has tried the same settings
+			log.Printf("event=module_failed error=%q", err)
+			return
+		}
+		c.module = module
+		c.module.Decide(c.now - ago)
+		if c.draining {
+			c.module.Drain(c.now, c.stopAt)
+		}
+	})
+}
+
+// wake arranges the module's timer; it comes with the gauges of the moment, or
+// with the last ones if the machine is slow to tell.
+func (c *Core) wake(after time.Duration, token int64) {
+	time.AfterFunc(after, func() {
+		c.post(func() {
+			if c.opt.Machine == nil {
+				c.module.Tick(c.now, token, c.gauges)
+				return
+			}
+			ticked := false
+			tick := func() {
+				if !ticked {
+					ticked = true
+					c.module.Tick(c.now, token, c.gauges)
+				}
+			}
+			late := time.AfterFunc(gaugesWithin, func() { c.post(tick) })
+			c.opt.Machine.Usage(func(g policy.Gauges) {
+				late.Stop()
+				c.post(func() { c.gauges = g; tick() })
+			})
+		})
+	})
+}
+
+// Check answers a health check: at once from the module's word, or a deep one
+// by a trial of the machine where the module has not settled it.
+func (c *Core) Check(deep bool, reply func(good bool)) {
+	c.post(func() {
+		if !deep || c.stored || !c.fit || c.opt.Machine == nil {
+			reply(c.fit)
+			return
+		}
+		answered := false
+		once := func(good bool) {
+			c.post(func() {
+				if !answered {
+					answered = true
+					reply(good && c.fit)
+				}
+			})
+		}
+		late := time.AfterFunc(trialWithin, func() { once(false) })
+		c.opt.Machine.Trial(func(good bool) { late.Stop(); once(good) })
+	})
+}
+
+// Drain takes in the notice to leave: the process is stopped at a time, and
+// all is answered a margin before it.
+func (c *Core) Drain(stopAt time.Time) {
+	c.post(func() {
+		if c.draining {
+			return
+		}
+		c.draining, c.stopAt = true, time.Duration(stopAt.Add(-stopMargin).UnixNano())
+		if c.module == nil {
+			c.setHealth(false, true)
+			return
+		}
+		c.module.Drain(c.now, c.stopAt)
+	})
+}
+
+func (c *Core) setHealth(on, stored bool) {
+	c.fit, c.stored = on, stored
+	if c.opt.Presence != nil {
+		c.opt.Presence.Accepting(on)
+	}
+}
--- /dev/null
+++ b/routing/keys.go
@@ -0,0 +1,149 @@
+package routing
+
+import "time"
+
+// Bounds of the table of keys. An entry without a result only says that the
+// key has run: it is what keeps it from running again, so it is never dropped
+// early. Results are, the oldest first, and their repeats then fail.
+const (
+	windowSlack = 100 * time.Millisecond // over a window's end, for clocks' and rounding's sake
+	entryBytes  = 512                    // taken for an entry beside its result
+	expireEvery = 250 * time.Millisecond
+)
+
+// entry is what the table keeps of a key.
+type entry struct {
+	key    string
+	holder string // id of the try that is held or runs
+	ran    string // id of the try that was run
+	till   time.Duration
+	over   bool     // what holds the key has ended
+	result *Payload // of the run, if it went well
+	size   int
+	joined []*attempt // repeats that wait for it to end
+	live   int        // tries of the key that are not over
+}
+
+// ranFor tells whether a run stands in the way of a try that came at a time.
+func (e *entry) ranFor(door time.Duration) bool { return e.ran != "" && door < e.till }
+
+// keyTable links the tries of keyed requests, from all fronts alike.
+type keyTable struct {
+	entries map[string]*entry
+	stored  []*entry // with a result, in order of storing
+	bytes   int
+	most    int // 0 for no bound
+	swept   time.Duration
+}
+
+func newKeyTable(most int) *keyTable {
+	return &keyTable{entries: make(map[string]*entry), most: most}
+}
+
+// full tells whether there is no room for a further key, even without results.
+func (t *keyTable) full() bool { return t.most > 0 && len(t.entries)*entryBytes > t.most }
+
+// enter links a new try to its key and names the try that it repeats: one that
+// has run within the window, or one that is still held.
+func (t *keyTable) enter(a *attempt) (earlier string) {
+	e := t.entries[a.Key]
+	if e == nil {
+		e = &entry{key: a.Key, over: true}
+		t.entries[a.Key] = e
+		t.bytes += entryBytes
+	}
+	a.entry = e
+	e.live++
+	if e.ranFor(a.door) {
+		return e.ran
+	}
+	if !e.over {
+		return e.holder
+	}
+	e.holder, e.over = a.ID, false
+	return ""
+}
+
+// keep makes a try the one that holds its key, where none that ran does.
+func (t *keyTable) keep(a *attempt) {
+	if e := a.entry; !e.ranFor(a.door) && e.over {
+		e.holder, e.over = a.ID, false
+	}
+}
+
+// claim lets a try run, unless another has run in whose window it came.
+func (t *keyTable) claim(a *attempt, window time.Duration) bool {
+	e := a.entry
+	if e.ranFor(a.door) {
+		return false
+	}
+	t.drop(e)
+	e.holder, e.ran, e.over = a.ID, a.ID, false
+	e.till = a.door + window + windowSlack
+	return true
+}
+
+// unclaim takes back the claim of a try that is proven never to have run.
+func (t *keyTable) unclaim(a *attempt) {
+	if e := a.entry; e.ran == a.ID {
+		e.ran = ""
+	}
+}
+
+// leave tells that a try is over. It gives the repeats that waited for it.
+func (t *keyTable) leave(a *attempt) (joined []*attempt) {
+	e := a.entry
+	e.live--
+	if e.holder == a.ID && !e.over {
+		e.over = true
+		joined, e.joined = e.joined, nil
+	}
+	if e.live == 0 && e.ran == "" {
+		t.remove(e)
+	}
+	return joined
+}
+
+// store keeps a result, within the bound on all.
+func (t *keyTable) store(e *entry, result Payload) {
+	e.result, e.size = &result, result.size()
+	t.bytes += e.size
+	t.stored = append(t.stored, e)
+	for t.most > 0 && t.bytes > t.most && len(t.stored) > 0 {
+		t.drop(t.stored[0])
+	}
+}
+
+// drop lets go of an entry's result.
+func (t *keyTable) drop(e *entry) {
+	if e.result == nil {
+		return
+	}
+	e.result = nil
+	t.bytes -= e.size
+	for i, s := range t.stored {
+		if s == e {
+			t.stored = append(t.stored[:i], t.stored[i+1:]...)
+			break
+		}
+	}
+}
+
+func (t *keyTable) remove(e *entry) {
+	t.drop(e)
+	delete(t.entries, e.key)
+	t.bytes -= entryBytes
+}
+
+// expire lets go of entries whose window is over and that no try holds.
+func (t *keyTable) expire(now time.Duration) {
+	if now < t.swept+expireEvery {
+		return
+	}
+	t.swept = now
+	for _, e := range t.entries {
+		if e.live == 0 && now >= e.till {
+			t.remove(e)
+		}
+	}
+}
--- /dev/null
+++ b/routing/relay.go
@@ -0,0 +1,87 @@
+package routing
+
+import (
+	"time"
+
+	"quincerail.example/quincerail/policy"
+)
+
+// Relay: what backend and dependency report goes on to the module and back.
+
+// Completed tells how a run ended.
+func (c *Core) Completed(id string, end End, took time.Duration, result Payload) {
+	c.post(func() { c.completed(id, end, took, result) })
+}
+
+func (c *Core) completed(id string, end End, took time.Duration, result Payload) {
+	a := c.attempts[id]
+	if a == nil || !a.begun {
+		return
+	}
+	c.endCall(a)
+	outcome := [...]policy.Outcome{Good: policy.OK, Bad: policy.Errored, Cut: policy.Cancelled, Unborn: policy.Moot}[end]
+	c.bookRun(a, end, result)
+	switch end {
+	case Good:
+		c.book(a, Outcome{Kind: Served, Result: result})
+	case Bad, Unborn:
+		c.book(a, c.failure(a))
+	}
+	a.begun = false
+	c.module.Done(c.now, id, outcome, took)
+	c.release(a)
+}
+
+// Asked tells that a run waits for a call.
+func (c *Core) Asked(id string, notice uint64, body []byte) {
+	c.post(func() {
+		a := c.attempts[id]
+		if a == nil || !a.begun || a.call != nil && a.call.notice >= notice {
+			return
+		}
+		c.endCall(a)
+		a.call = &call{notice: notice, body: body}
+		c.module.NeedsCall(c.now, id)
+	})
+}
+
+// Called tells how the call of that number ended.
+func (c *Core) Called(id string, number int, end CallEnd, reply []byte) {
+	c.post(func() {
+		if a := c.attempts[id]; a != nil {
+			c.called(a, number, end, reply)
+		}
+	})
+}
+
+func (c *Core) called(a *attempt, number int, end CallEnd, reply []byte) {
+	k := a.call
+	if k == nil || !k.out || a.calls != number { // late: it was given up, and another may be out
+		return
+	}
+	k.out = false
+	if k.timer != nil {
+		k.timer.Stop()
+	}
+	if end == policy.OK {
+		a.call = nil
+		a.backend.Answer(a.ID, reply)
+	}
+	c.module.CallDone(c.now, a.ID, end, c.now-k.since)
+}
+
+// settleRepeat ends a repeat with what the try that ran came to.
+func (c *Core) settleRepeat(a *attempt, e *entry) {
+	if a.answered {
+		return
+	}
+	outcome := policy.Errored
+	if e != nil && e.result != nil {
+		outcome = policy.OK
+		c.book(a, Outcome{Kind: Served, Result: *e.result})
+	} else {
+		c.book(a, c.failure(a))
+	}
+	c.module.Done(c.now, a.ID, outcome, 0)
+	c.release(a)
+}
--- /dev/null
+++ b/routing/route.go
@@ -0,0 +1,51 @@
+package routing
+
+import "time"
+
+// Route: where the work of a request is to be done, if it is to be done at all.
+
+// Run has a request run, unless its key has run here: then it gets that result.
+func (h host) Run(id string) {
+	a := h.attempts[id]
+	if a == nil || a.answered || a.begun {
+		return
+	}
+	// Guards rule 2 whatever the module says: within the window of a try that
+	// ran, no other try of the key is begun.
+	if a.entry != nil && !h.keys.claim(a, h.opt.Settings.Classes[a.class].Window) {
+		h.Reuse(id)
+		return
+	}
+	h.send(a)
+}
+
+// Halt has a run stopped.
+func (h host) Halt(id string) {
+	if a := h.attempts[id]; a != nil && a.begun {
+		a.backend.Interrupt(id)
+	}
+}
+
+// Reuse has a repeat wait for the result of the try that it repeats. What comes
+// of it is an event of its own, as the module is in the midst of a batch.
+func (h host) Reuse(id string) {
+	a := h.attempts[id]
+	if a == nil || a.answered {
+		return
+	}
+	if e := a.entry; e != nil && !e.over && e.holder != a.ID {
+		e.joined = append(e.joined, a)
+		return
+	}
+	h.followUps = append(h.followUps, func() { h.settleRepeat(a, a.entry) })
+}
+
+// Keep enters a request in the table of keys.
+func (h host) Keep(id string, _ time.Duration) {
+	if a := h.attempts[id]; a != nil && a.entry != nil {
+		h.keys.keep(a)
+	}
+}
+
+// Forget needs nothing: the entry of a try that never ran goes with the try.
+func (h host) Forget(string) {}
--- /dev/null
+++ b/routing/routing.go
@@ -0,0 +1,125 @@
+// Package routing is the core of the app server: requests, attempts and
+// outcomes. It knows no wire. One goroutine owns the decision module and the
+// state of all requests; fronts and backends send it events.
+//
+// A request passes the stages take in, admit, route, send, relay and book,
+// each in a file of its own.
+package routing
+
+import (
+	"time"
+
+	"quincerail.example/quincerail/policy"
+)
+
+// Field is a named part of a payload.
+type Field struct{ Name, Value string }
+
+// Payload is what a request brings, or its result. The core only passes it on.
+type Payload struct {
+	Fields []Field
+	Body   []byte
+}
+
+func (p *Payload) size() int {
+	n := len(p.Body)
+	for _, f := range p.Fields {
+		n += len(f.Name) + len(f.Value)
+	}
+	return n
+}
+
+// Request is one try of a request as a front read it.
+type Request struct {
+	ID      string    // new with every try
+	Class   string    // by its name in the settings
+	Key     string    // keyed classes: the same for all tries of one request
+	Item    string    // what a read is about; may be empty
+	Door    time.Time // when it came to the machine
+	Caller  int
+	HeldKB  float64 // memory that it takes while held
+	Rank    float64 // 0 to 1, by worth
+	Payload Payload
+	Backend Backend // runs it; nil for the core's own
+	Sink    Sink    // gets the answer
+}
+
+// Kind says how a request was answered.
+type Kind int
+
+// The kinds of answers.
+const (
+	Served  Kind = iota // with the result of a run
+	Refused             // this try never ran, or may be repeated freely
+	Failed
+	TimedOut // failed because its time is over
+)
+
+// Outcome is a request's final answer.
+type Outcome struct {
+	Kind   Kind
+	Result Payload       // served
+	Later  time.Duration // refused: how long to stay away
+	GiveUp bool          // refused: the wish that it is not tried elsewhere
+}
+
+// Sink takes a request's one final answer. It must not block.
+type Sink interface {
+	Answer(id string, o Outcome)
+}
+
+// End says how a run ended.
+type End int
+
+// The ends of a run.
+const (
+	Good   End = iota // with a result
+	Bad               // it failed
+	Cut               // it was stopped
+	Unborn            // nothing was started, as the request was over
+)
+
+// Run is work for a backend: an attempt at a request.
+type Run struct {
+	ID      string
+	Class   string
+	Due     time.Time
+	Payload Payload
+}
+
+// Backend runs requests. Its methods must not block; what becomes of a run is
+// told by the core's Completed and Asked.
+type Backend interface {
+	Begin(r Run)
+	Interrupt(id string)
+	Answer(id string, reply []byte)   // to the call that a run waits for
+	Without(id string, notice uint64) // go on without that call
+}
+
+// Machine is what a backend may tell of the machine that it runs on. Its
+// methods must not block.
+type Machine interface {
+	Usage(reply func(policy.Gauges))
+	Trial(reply func(good bool))
+}
+
+// CallEnd says how a call ended.
+type CallEnd = policy.Outcome
+
+// Dependency makes calls for runs. Its methods must not block; how a call
+// ended is told by the core's Called, with the number that tells a run's calls
+// apart.
+type Dependency interface {
+	Call(id string, number int, wait time.Duration, body []byte)
+	Abandon(id string)
+}
+
+// Presence tells callers whether work is taken. Its method must not block.
+type Presence interface {
+	Accepting(on bool)
+}
+
+// Connections is told how long idle connections may stay. Its method must not block.
+type Connections interface {
+	CloseIdle(after time.Duration)
+}
--- /dev/null
+++ b/routing/send.go
@@ -0,0 +1,78 @@
+package routing
+
+import (
+	"log"
+	"time"
+
+	"quincerail.example/quincerail/policy"
+)
+
+// call is the call that a run stands at.
+type call struct {
+	notice uint64
+	body   []byte
+	out    bool
+	since  time.Duration
+	timer  *time.Timer
+}
+
+// Send: work goes to the backend, calls go below.
+
+func (c *Core) send(a *attempt) {
+	a.begun = true
+	a.backend.Begin(Run{ID: a.ID, Class: a.Class, Due: time.Unix(0, int64(a.due)), Payload: a.Payload})
+	a.Payload = Payload{} // the backend has it; a kept key need not
+}
+
+// Call makes the call that a run stands at. The dependency keeps no time
+// limit, so it is given up here.
+func (h host) Call(id string, timeout time.Duration) {
+	a := h.attempts[id]
+	if a == nil || a.call == nil || a.call.out {
+		return
+	}
+	k := a.call
+	k.out, k.since = true, h.now
+	a.calls++
+	number := a.calls
+	if h.opt.Dependency == nil {
+		h.followUps = append(h.followUps, func() { h.called(a, number, policy.ConnectFailed, nil) })
+		return
+	}
+	k.timer = time.AfterFunc(timeout, func() {
+		h.post(func() {
+			if a.call == k && k.out && a.calls == number {
+				h.opt.Dependency.Abandon(id)
+				h.called(a, number, policy.TimedOut, nil)
+			}
+		})
+	})
+	h.opt.Dependency.Call(id, number, timeout, k.body)
+}
+
+// Skip has a run go on without its call.
+func (h host) Skip(id string) {
+	if a := h.attempts[id]; a != nil && a.call != nil {
+		notice := a.call.notice
+		h.endCall(a)
+		a.backend.Without(id, notice)
+	}
+}
+
+// endCall forgets the call that a run stood at, and gives it up if it is out.
+func (c *Core) endCall(a *attempt) {
+	k := a.call
+	a.call = nil
+	if k == nil || !k.out {
+		return
+	}
+	if k.timer != nil {
+		k.timer.Stop()
+	}
+	if c.opt.Dependency != nil {
+		c.opt.Dependency.Abandon(a.ID)
+	}
+}
+
+// Log writes the module's remarks.
+func (h host) Log(text string) { log.Printf("event=module remark=%q", text) }
--- /dev/null
+++ b/routing/takein.go
@@ -0,0 +1,66 @@
+package routing
+
+import (
+	"fmt"
+	"time"
+
+	"quincerail.example/quincerail/policy"
+)
+
+// attempt is one try of a request and what became of it.
+type attempt struct {
+	Request
+	class    int
+	door     time.Duration
+	due      time.Duration
+	backend  Backend
+	answered bool // it has its one answer, or none is owed
+	begun    bool // its run was begun and has not ended
+	call     *call
+	calls    int    // made for it so far
+	entry    *entry // of a keyed request
+}
+
+// Take in: a request comes from a front.
+
+// Submit hands in a request. An error means that it was not taken, and that
+// its sink hears nothing.
+func (c *Core) Submit(r Request) error {
+	class, ok := c.classes[r.Class]
+	if !ok {
+		return fmt.Errorf("class %q is not known", r.Class)
+	}
+	if keyed := c.opt.Settings.Classes[class].Effect == policy.Keyed; keyed && r.Key == "" {
+		return fmt.Errorf("class %q needs a key", r.Class)
+	} else if !keyed {
+		r.Key = ""
+	}
+	if r.ID == "" || !(r.HeldKB > 0) {
+		return fmt.Errorf("id %q, memory %v: both are needed", r.ID, r.HeldKB)
+	}
+	return c.post(func() { c.takeIn(r, class) })
+}
+
+func (c *Core) takeIn(r Request, class int) {
+	if c.attempts[r.ID] != nil { // ids never return: this is a front's mistake, and it owes an answer
+		r.Sink.Answer(r.ID, Outcome{Kind: Failed})
+		return
+	}
+	a := &attempt{Request: r, class: class, door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
+	// A caller's clock ahead of ours can't have made it come after now.
+	a.door = min(a.door, c.now)
+	a.due = a.door + c.opt.Settings.Classes[class].Deadline
+	if a.backend == nil {
+		a.backend = c.opt.Backend
+	}
+	c.attempts[r.ID] = a
+	if c.module == nil { // nothing can run yet, or ever
+		c.book(a, Outcome{Kind: Refused, Later: c.opt.Settings.MaxAdvice})
+		return
+	}
+	if a.Key != "" && c.keys.full() { // it could run, but not be kept from running again
+		c.book(a, Outcome{Kind: Refused, Later: c.opt.Settings.MaxAdvice})
+		return
+	}
+	c.admit(a)
+}
--- /dev/null
+++ b/transport/conn.go
@@ -0,0 +1,158 @@
+// Package transport owns connections: listeners, their limits, the life of a
+// connection, deadlines and bounded writes. It knows no protocol.
+package transport
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+// The limits of one connection.
+const (
+	readBuffer   = 16 << 10        // a peeked message must fit
+	queueLimit   = 256 << 10       // bytes a peer may leave unread before it is cut off
+	writeTimeout = 5 * time.Second // for one flush; a pause of the machine is shorter
+)
+
+// ErrCutOff is why a connection ended whose peer stopped reading.
+var ErrCutOff = errors.New("peer stopped reading")
+
+// ErrWoken is what a step sees when its read was interrupted by Wake or by
+// queued output. It is a time-out of the read, and the step is called again.
+var ErrWoken = os.ErrDeadlineExceeded
+
+// Conn is a connection served by one goroutine, which reads and also writes
+// what others queue: a queued write interrupts the read by its deadline.
+type Conn struct {
+	nc net.Conn
+	r  *bufio.Reader
+
+	mu       sync.Mutex
+	queue    []byte
+	closing  bool      // ends once the queue is written
+	cut      bool      // ends at once
+	deadline time.Time // for the read; zero for none
+	woken    bool
+	last     time.Time // of the last message read or written
+}
+
+// NewConn wraps a network connection. Serve must be called to work it.
+func NewConn(nc net.Conn) *Conn {
+	return &Conn{nc: nc, r: bufio.NewReaderSize(nc, readBuffer), last: time.Now()}
+}
+
+// Send queues bytes to be written. It never blocks; it reports false if the
+// connection is ending. A peer that lets too much pile up is cut off.
+func (c *Conn) Send(p []byte) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closing || c.cut {
+		return false
+	}
+	if len(c.queue)+len(p) > queueLimit {
+		c.cut = true
+		c.nc.Close() // also ends a write that the peer's full window blocks
+		return false
+	}
+	c.queue = append(c.queue, p...)
+	c.last = time.Now()
+	c.interrupt()
+	return true
+}
+
+// Close ends the connection once all that is queued is written.
+func (c *Conn) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	c.interrupt()
+}
+
+// Wake makes the current step return ErrWoken so that it can look again.
+func (c *Conn) Wake() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.woken = true
+	c.interrupt()
+}
+
+// SetReadDeadline sets when Serve gives up reading; zero for never.
+func (c *Conn) SetReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = t
+	if len(c.queue) == 0 && !c.closing && !c.woken {
+		c.nc.SetReadDeadline(t)
+	}
+}
+
+// IdleSince tells when a message was last read or queued.
+func (c *Conn) IdleSince() time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.last
+}
+
+// interrupt ends a read that is under way. Both this and the setting of the
+// next read's deadline are done under the lock, so no wake-up is lost.
+func (c *Conn) interrupt() { c.nc.SetReadDeadline(time.Unix(1, 0)) }
+
+// Serve calls step for each message until it fails, and writes what is queued
+// in between. A step must be resumable: it peeks, and discards once whole.
+// The connection is closed when Serve returns.
+func (c *Conn) Serve(step func(r *bufio.Reader) error) error {
+	defer c.nc.Close()
+	for {
+		if done, err := c.flush(); done || err != nil {
+			return err
+		}
+		err := step(c.r)
+		if err == nil {
+			c.mu.Lock()
+			c.last = time.Now()
+			c.mu.Unlock()
+			continue
+		}
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.expired() {
+			c.flush() // an error answer queued by the step still goes out
+			return err
+		}
+	}
+}
+
+// expired tells whether a read's time-out was the connection's own deadline.
+func (c *Conn) expired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closing && len(c.queue) == 0 && !c.deadline.IsZero() && !time.Now().Before(c.deadline)
+}
+
+// flush writes the queue and sets the deadline of the next read.
+func (c *Conn) flush() (done bool, err error) {
+	for {
+		c.mu.Lock()
+		if c.cut {
+			c.mu.Unlock()
+			return true, ErrCutOff
+		}
+		if len(c.queue) == 0 {
+			done := c.closing
+			c.woken = false
+			c.nc.SetReadDeadline(c.deadline)
+			c.mu.Unlock()
+			return done, nil
+		}
+		out := c.queue
+		c.queue = nil
+		c.mu.Unlock()
+		c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
+		if _, err := c.nc.Write(out); err != nil {
+			return true, fmt.Errorf("writing: %w", err)
+		}
+	}
+}
