--- a/program/program.go
+++ b/program/program.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log"
+	"net"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -14,14 +15,14 @@
 )
 
 const (
-	leaveWithin  = time.Second            // after leaving was said, until an idle connection is closed
-	sweepLeast   = 20 * time.Millisecond  // between two looks for idle connections
-	sweepMost    = 500 * time.Millisecond // likewise
-	exitMargin   = 120 * time.Millisecond // before the kill, when all has been answered
-	heapShare    = 0.75                   // of the memory is for the heap
-	keysShare    = 8                      // one part in so many of the memory is for kept results
-	connsOf4     = 3                      // parts in four of the descriptors are for callers
-	heapCollects = 100                    // GOGC: the limit above binds before it does
+	leaveWithin = time.Second            // after leaving was said, until an idle connection is closed
+	sweepLeast  = 20 * time.Millisecond  // between two looks for idle connections
+	sweepMost   = 500 * time.Millisecond // likewise
+	exitMargin  = 120 * time.Millisecond // before the kill, when all has been answered
+	heapShare   = 0.75                   // of the memory is for the heap
+	keysShare   = 8                      // one part in so many of the memory is for kept results
+	frontShare  = 2                      // one part in so many of the descriptors is for balancers, who keep to it
+	uwsgiShare  = 8                      // likewise for the uwsgi front, where a backend connection comes with each
 )
 
 // idleLimit holds how long connections may idle.
@@ -30,12 +31,37 @@
 // CloseIdle implements routing.Connections.
 func (l *idleLimit) CloseIdle(after time.Duration) { l.after.Store(int64(after)) }
 
-// Serve runs the app server until ctx ends, and then drains it.
-func Serve(ctx context.Context, c *Config) error {
+// front is what the drain needs of a front.
+type front interface {
+	serve(*transport.Conn)
+	leave()      // the notice has come: callers are told
+	refuseLate() // the grace is over
+}
+
+// door is a front with its listener.
+type door struct {
+	front  front
+	server *transport.Server
+}
+
+// Server is a running app server.
+type Server struct {
+	config *Config
+	core   *routing.Core
+	thrift *thriftFront
+	idle   *idleLimit
+	doors  []door // the first is the platform's
+	stop   context.CancelFunc
+}
+
+// Limit sets the process's memory limit and threads from the configuration.
+func Limit(c *Config) {
 	debug.SetMemoryLimit(int64(float64(c.MemoryMB) * heapShare * (1 << 20)))
-	debug.SetGCPercent(heapCollects)
 	runtime.GOMAXPROCS(max(1, int(c.Cores)))
+}
 
+// Start brings an app server up. The uwsgi front is off where u is nil.
+func Start(c *Config, u *UWSGIConfig) (*Server, error) {
 	link, pool := newProcessorLink(c.Gauges), newLedgerPool(c.Ledger)
 	presence, idle := newAnnouncer(c.Announce, c.Name), &idleLimit{}
 	idle.CloseIdle(c.Settings.MaxIdle)
@@ -43,69 +69,96 @@
 		Backend: link, Machine: link, Dependency: pool, Presence: presence, Connections: idle,
 		KeyBytes: c.MemoryMB << 20 / keysShare})
 	if err != nil {
-		return err
+		return nil, err
 	}
 	link.core, pool.core = core, core
-
-	front := newThriftFront(core)
-	server, err := transport.Listen(c.Listen, c.Sockets*connsOf4/4, front.serve)
-	if err != nil {
-		return fmt.Errorf("listen: %w", err)
+	s := &Server{config: c, core: core, thrift: newThriftFront(core), idle: idle}
+	if err := s.listen("listen", c.Listen, c.Sockets/frontShare, s.thrift); err != nil {
+		return nil, err
+	}
+	if u != nil {
+		backend := newUWSGIBackend(core, u.Backend)
+		if err := s.listen("uwsgi listen", u.Listen, c.Sockets/uwsgiShare, newUWSGIFront(core, backend, u)); err != nil {
+			s.doors[0].server.Close()
+			return nil, err
+		}
 	}
-	log.Printf("event=started name=%s listen=%s", c.Name, server.Addr())
-
-	// What serves goes on through the drain, beyond ctx.
 	working, stop := context.WithCancel(context.Background())
-	defer stop()
+	s.stop = stop
 	go core.Run(working)
 	go link.run(working, c.Processor)
 	go presence.run(working)
-	go server.Run()
-	sweep(ctx, front, idle, c.Settings.MaxIdle)
-	return drain(c, core, front, server)
+	go s.sweep(working)
+	for _, d := range s.doors {
+		go d.server.Run()
+		log.Printf("event=listening name=%s address=%s", c.Name, d.server.Addr())
+	}
+	return s, nil
+}
+
+func (s *Server) listen(key, address string, limit int, f front) error {
+	server, err := transport.Listen(address, limit, f.serve)
+	if err != nil {
+		return fmt.Errorf("%s: %w", key, err)
+	}
+	s.doors = append(s.doors, door{f, server})
+	return nil
+}
+
+// Addr is the address that balancers connect to.
+func (s *Server) Addr() net.Addr { return s.doors[0].server.Addr() }
+
+// UWSGIAddr is the address of the uwsgi front, nil where it is off.
+func (s *Server) UWSGIAddr() net.Addr {
+	if len(s.doors) < 2 {
+		return nil
+	}
+	return s.doors[1].server.Addr()
 }
 
 // sweep takes leave of idle connections until ctx ends.
-func sweep(ctx context.Context, front *thriftFront, idle *idleLimit, most time.Duration) {
+func (s *Server) sweep(ctx context.Context) {
 	for {
-		after := time.Duration(idle.after.Load())
+		after := time.Duration(s.idle.after.Load())
 		select {
 		case <-ctx.Done():
 			return
 		case <-time.After(min(max(after/4, sweepLeast), sweepMost)):
 		}
-		if after >= most { // callers close them by themselves
-			continue
+		if after < s.config.Settings.MaxIdle { // else callers close them by themselves
+			s.thrift.leaveIdle(after)
 		}
-		front.each(func(t *thriftConn) {
-			if t.idle(after) {
-				t.leave()
-			}
-		})
 	}
 }
 
-// drain follows the notice to leave: callers are told, what comes within the
-// grace is still served, and the process ends when all is answered and the
-// callers have closed their connections, or just before it is killed.
-func drain(c *Config, core *routing.Core, front *thriftFront, server *transport.Server) error {
-	stopAt := time.Now().Add(c.Stop)
-	log.Printf("event=drain stop_in=%v", c.Stop)
-	core.Drain(stopAt)
-	front.each((*thriftConn).leave)
-	last := time.After(time.Until(stopAt) - exitMargin)
-	grace := time.After(c.Settings.DrainGrace)
-	for {
+// Drain follows the notice to leave: callers are told, what comes within the
+// grace is still taken, and it returns when all is answered and the callers
+// have closed their connections, or just before the process is killed.
+func (s *Server) Drain() {
+	defer s.stop()
+	stopAt := time.Now().Add(s.config.Stop)
+	log.Printf("event=drain stop_in=%v", s.config.Stop)
+	s.core.Drain(stopAt)
+	for _, d := range s.doors {
+		d.front.leave()
+	}
+	last, cancel := context.WithDeadline(context.Background(), stopAt.Add(-exitMargin))
+	defer cancel()
+	select {
+	case <-time.After(s.config.Settings.DrainGrace):
+	case <-last.Done():
+	}
+	for _, d := range s.doors {
+		d.server.Close() // a refused connection proves that nothing ran
+		d.front.refuseLate()
+	}
+	for _, d := range s.doors {
 		select {
-		case <-grace:
-			server.Close() // a refused connection proves that nothing ran
-			front.each((*thriftConn).leave)
-		case <-server.Empty():
-			log.Printf("event=stopped")
-			return nil
-		case <-last:
-			log.Printf("event=stopped open=true")
-			return nil
+		case <-d.server.Empty():
+		case <-last.Done():
+			log.Printf("event=stopped connections=open")
+			return
 		}
 	}
+	log.Printf("event=stopped connections=closed")
 }
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -17,8 +17,7 @@
 // thriftFront is the front for the balancers' protocol.
 type thriftFront struct {
 	core  *routing.Core
-	mu    sync.Mutex
-	conns map[*transport.Conn]*thriftConn
+	conns registry[*thriftConn]
 }
 
 // thriftConn is one connection of a balancer.
@@ -34,15 +33,13 @@
 }
 
 func newThriftFront(core *routing.Core) *thriftFront {
-	return &thriftFront{core: core, conns: make(map[*transport.Conn]*thriftConn)}
+	return &thriftFront{core: core, conns: newRegistry[*thriftConn]()}
 }
 
 // serve works one connection. Requests still open when it ends have no caller.
 func (f *thriftFront) serve(c *transport.Conn) {
 	t := &thriftConn{core: f.core, conn: c, open: make(map[string]int32), ids: make(map[int32]string)}
-	f.mu.Lock()
-	f.conns[c] = t
-	f.mu.Unlock()
+	f.conns.add(t)
 	c.Serve(func(r *bufio.Reader) error {
 		m, err := thrift.Read(r)
 		if err != nil {
@@ -50,9 +47,7 @@
 		}
 		return t.take(m)
 	})
-	f.mu.Lock()
-	delete(f.conns, c)
-	f.mu.Unlock()
+	f.conns.remove(t)
 	t.mu.Lock()
 	ids := make([]string, 0, len(t.open))
 	for id := range t.open {
@@ -194,15 +189,18 @@
 	return len(t.open) == 0 && time.Since(t.conn.IdleSince()) > after
 }
 
-// each calls f for every connection.
-func (f *thriftFront) each(do func(*thriftConn)) {
-	f.mu.Lock()
-	conns := make([]*thriftConn, 0, len(f.conns))
-	for _, t := range f.conns {
-		conns = append(conns, t)
-	}
-	f.mu.Unlock()
-	for _, t := range conns {
-		do(t)
-	}
+// leave takes leave of all connections.
+func (f *thriftFront) leave() { f.conns.each((*thriftConn).leave) }
+
+// refuseLate takes leave also of connections that came since; the module turns
+// away what comes over them.
+func (f *thriftFront) refuseLate() { f.leave() }
+
+// leaveIdle takes leave of connections that have idled for a time.
+func (f *thriftFront) leaveIdle(after time.Duration) {
+	f.conns.each(func(t *thriftConn) {
+		if t.idle(after) {
+			t.leave()
+		}
+	})
 }
--- /dev/null
+++ b/program/uwsgi.go
@@ -0,0 +1,219 @@
+package program
+
+import (
+	"bufio"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/protocol/uwsgi"
+	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/transport"
+)
+
+const (
+	uwsgiReadWithin = 10 * time.Second // for a request to come whole
+	uwsgiBaseKB     = 16               // of memory that a request is taken to need beside its size
+)
+
+// uwsgiFront is the front for the uwsgi protocol: one request a connection.
+type uwsgiFront struct {
+	core    *routing.Core
+	backend routing.Backend
+	config  *UWSGIConfig
+	routes  describe.Routes
+	conns   registry[*uwsgiConn]
+}
+
+func newUWSGIFront(core *routing.Core, backend routing.Backend, config *UWSGIConfig) *uwsgiFront {
+	return &uwsgiFront{core: core, backend: backend, config: config, routes: config.routes(),
+		conns: newRegistry[*uwsgiConn]()}
+}
+
+// uwsgiConn is one connection and its request.
+type uwsgiConn struct {
+	front *uwsgiFront
+	conn  *transport.Conn
+
+	mu      sync.Mutex
+	decoder uwsgi.Decoder
+	id      string // of the request handed in
+	closing bool   // it has its answer, or gets none
+	late    bool   // the grace of a drain is over: what is not read by now is turned away
+}
+
+// serve works one connection. If it ends before the answer, the caller is gone.
+func (f *uwsgiFront) serve(c *transport.Conn) {
+	u := &uwsgiConn{front: f, conn: c, decoder: uwsgi.Decoder{MaxBody: f.config.MaxBody}}
+	f.conns.add(u)
+	defer f.conns.remove(u)
+	c.SetReadDeadline(time.Now().Add(uwsgiReadWithin))
+	c.Serve(u.step)
+	u.mu.Lock()
+	id, answered := u.id, u.closing
+	u.mu.Unlock()
+	if id != "" && !answered {
+		f.core.Gone(id)
+	}
+}
+
+func (u *uwsgiConn) step(r *bufio.Reader) error {
+	u.mu.Lock()
+	waiting, late := u.id != "" || u.closing, u.late
+	u.mu.Unlock()
+	if waiting { // for the answer: all that can come is the end of the connection
+		if _, err := r.Peek(1); err != nil {
+			return err
+		}
+		r.Discard(r.Buffered())
+		return nil
+	}
+	req, err := u.decoder.Read(r)
+	switch {
+	case err == nil && req.Modifier1 == uwsgi.ModifierPing:
+		u.front.core.Check(false, func(good bool) {
+			if good {
+				u.conn.Send(uwsgi.AppendPong(nil))
+			}
+			u.finish()
+		})
+	case err == nil:
+		u.take(req)
+	case errors.Is(err, uwsgi.ErrMalformed):
+		u.respond(http.StatusBadRequest, nil)
+	case errors.Is(err, uwsgi.ErrTooLarge):
+		u.respond(http.StatusRequestEntityTooLarge, nil)
+	case errors.Is(err, os.ErrDeadlineExceeded) && late && !u.decoder.Started():
+		return io.EOF // nothing was read of it, so nothing is owed
+	case errors.Is(err, os.ErrDeadlineExceeded) && late:
+		u.respond(http.StatusServiceUnavailable, []uwsgi.Var{retryAfter(0)})
+	case errors.Is(err, os.ErrDeadlineExceeded) && u.conn.Expired() && u.decoder.Started():
+		u.respond(http.StatusRequestTimeout, nil)
+	default:
+		return err
+	}
+	return nil
+}
+
+// take hands a request in. It arrived now that its last byte is read.
+func (u *uwsgiConn) take(req *uwsgi.Request) {
+	f, path := u.front, req.Get("PATH_INFO")
+	if path == "" {
+		path, _, _ = strings.Cut(req.Get("REQUEST_URI"), "?")
+	}
+	u.conn.SetReadDeadline(time.Time{}) // from here on the core answers in time
+	if f.config.HealthPath != "" && path == f.config.HealthPath {
+		f.core.Check(false, func(good bool) {
+			if good {
+				u.respond(http.StatusOK, nil)
+			} else {
+				u.respond(http.StatusServiceUnavailable, []uwsgi.Var{retryAfter(0)})
+			}
+		})
+		return
+	}
+	route, ok := f.routes.Match(req.Get("REQUEST_METHOD"), path)
+	if !ok {
+		u.respond(http.StatusNotFound, nil)
+		return
+	}
+	payload := routing.Payload{Body: req.Body}
+	size := len(req.Body)
+	for _, v := range req.Vars {
+		payload.Fields = append(payload.Fields, routing.Field(v))
+		size += len(v.Name) + len(v.Value)
+	}
+	id := newID()
+	u.mu.Lock()
+	u.id = id
+	u.mu.Unlock()
+	err := f.core.Submit(routing.Request{ID: id, Class: route.Class, Key: req.Get(f.config.KeyVariable),
+		Door: time.Now(), Caller: -1, HeldKB: uwsgiBaseKB + float64(size)/1024, Payload: payload,
+		Backend: f.backend, Sink: u})
+	if err != nil { // a keyed class without its key
+		u.respond(http.StatusBadRequest, nil)
+	}
+}
+
+// newID makes an id of the form that all requests have.
+func newID() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
+// Answer implements routing.Sink.
+func (u *uwsgiConn) Answer(_ string, o routing.Outcome) {
+	switch o.Kind {
+	case routing.Served:
+		u.send(response(o.Result))
+	case routing.Refused:
+		u.respond(http.StatusServiceUnavailable, []uwsgi.Var{retryAfter(o.Later)})
+	case routing.TimedOut:
+		u.respond(http.StatusGatewayTimeout, nil)
+	default:
+		u.respond(http.StatusBadGateway, nil)
+	}
+}
+
+// response makes an HTTP response of a result. One that a backend of another
+// kind made has no status and no headers.
+func response(p routing.Payload) uwsgi.Response {
+	resp := uwsgi.Response{Status: http.StatusOK, Body: p.Body}
+	for _, f := range p.Fields {
+		if f.Name == statusField {
+			resp.Status, _ = strconv.Atoi(f.Value)
+			continue
+		}
+		resp.Headers = append(resp.Headers, uwsgi.Var(f))
+	}
+	if len(p.Fields) == 0 {
+		resp.Headers = []uwsgi.Var{{Name: "Content-Type", Value: "application/octet-stream"}}
+	}
+	return resp
+}
+
+// retryAfter tells when to come back, in whole seconds and never at once.
+func retryAfter(later time.Duration) uwsgi.Var {
+	return uwsgi.Var{Name: "Retry-After", Value: strconv.Itoa(int(max(1, math.Ceil(later.Seconds()))))}
+}
+
+func (u *uwsgiConn) respond(status int, headers []uwsgi.Var) {
+	u.send(uwsgi.Response{Status: status, Headers: append(headers, uwsgi.Var{Name: "Content-Type", Value: "text/plain"}),
+		Body: []byte(http.StatusText(status) + "\n")})
+}
+
+func (u *uwsgiConn) send(r uwsgi.Response) {
+	u.conn.Send(uwsgi.AppendResponse(nil, r))
+	u.finish()
+}
+
+// finish ends the connection once what is queued is written.
+func (u *uwsgiConn) finish() {
+	u.mu.Lock()
+	u.closing = true
+	u.mu.Unlock()
+	u.conn.Close()
+}
+
+// leave has nothing to say in this protocol: a connection ends with its answer.
+func (f *uwsgiFront) leave() {}
+
+// refuseLate turns away what is still unread when the grace of a drain is over.
+func (f *uwsgiFront) refuseLate() {
+	f.conns.each(func(u *uwsgiConn) {
+		u.mu.Lock()
+		u.late = true
+		u.mu.Unlock()
+		u.conn.Wake()
+	})
+}
--- /dev/null
+++ b/program/uwsgibackend.go
@@ -0,0 +1,99 @@
+package program
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	"quincerail.example/quincerail/protocol/uwsgi"
+	"quincerail.example/quincerail/routing"
+)
+
+// statusField is the field of a result that holds its HTTP status.
+const statusField = ":status"
+
+// uwsgiBackend runs requests at a uwsgi application server, a connection each.
+// A run is sent once: after a break nobody knows whether it had its effect.
+type uwsgiBackend struct {
+	core    *routing.Core
+	address string
+
+	mu   sync.Mutex
+	runs map[string]context.CancelFunc
+}
+
+func newUWSGIBackend(core *routing.Core, address string) *uwsgiBackend {
+	return &uwsgiBackend{core: core, address: address, runs: make(map[string]context.CancelFunc)}
+}
+
+// Begin implements routing.Backend.
+func (b *uwsgiBackend) Begin(r routing.Run) {
+	ctx, cancel := context.WithDeadline(context.Background(), r.Due)
+	b.mu.Lock()
+	b.runs[r.ID] = cancel
+	b.mu.Unlock()
+	go func() {
+		began := time.Now()
+		end, result := b.run(ctx, r)
+		b.mu.Lock()
+		delete(b.runs, r.ID)
+		b.mu.Unlock()
+		if ctx.Err() == context.Canceled {
+			end = routing.Cut
+		}
+		cancel()
+		b.core.Completed(r.ID, end, time.Since(began), result)
+	}()
+}
+
+// run does one attempt. A connection that was refused proves that nothing ran.
+func (b *uwsgiBackend) run(ctx context.Context, r routing.Run) (routing.End, routing.Payload) {
+	var vars []uwsgi.Var
+	for _, f := range r.Payload.Fields {
+		vars = append(vars, uwsgi.Var(f))
+	}
+	packet, err := uwsgi.AppendRequest(nil, vars, r.Payload.Body)
+	if err != nil {
+		return routing.Unborn, routing.Payload{}
+	}
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", b.address)
+	if err != nil {
+		return routing.Unborn, routing.Payload{}
+	}
+	defer nc.Close()
+	nc.SetDeadline(r.Due)
+	defer context.AfterFunc(ctx, func() { nc.SetDeadline(time.Unix(1, 0)) })()
+	if _, err := nc.Write(packet); err != nil {
+		return routing.Bad, routing.Payload{}
+	}
+	resp, err := uwsgi.ReadResponse(bufio.NewReader(nc))
+	if err != nil {
+		return routing.Bad, routing.Payload{}
+	}
+	result := routing.Payload{Body: resp.Body, Fields: []routing.Field{{Name: statusField, Value: strconv.Itoa(resp.Status)}}}
+	for _, h := range resp.Headers {
+		result.Fields = append(result.Fields, routing.Field(h))
+	}
+	if resp.Status >= 500 {
+		return routing.Bad, result
+	}
+	return routing.Good, result
+}
+
+// Interrupt implements routing.Backend.
+func (b *uwsgiBackend) Interrupt(id string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if cancel := b.runs[id]; cancel != nil {
+		cancel()
+	}
+}
+
+// Answer implements routing.Backend: these runs make no calls.
+func (b *uwsgiBackend) Answer(string, []byte) {}
+
+// Without implements routing.Backend: these runs make no calls.
+func (b *uwsgiBackend) Without(string, uint64) {}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -6,6 +6,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -14,9 +15,10 @@
 
 // The limits of one connection.
 const (
-	readBuffer   = 16 << 10        // a peeked message must fit
-	queueLimit   = 256 << 10       // bytes a peer may leave unread before it is cut off
-	writeTimeout = 5 * time.Second // for one flush; a pause of the machine is shorter
+	readBuffer   = 16 << 10               // a peeked message must fit
+	queueLimit   = 512 << 10              // bytes a peer may leave unread before it is cut off
+	lingerFor    = 200 * time.Millisecond // for the peer to take in the end
+	writeTimeout = 5 * time.Second        // for one flush; a pause of the machine is shorter
 )
 
 // ErrCutOff is why a connection ended whose peer stopped reading.
@@ -109,6 +111,9 @@
 	defer c.nc.Close()
 	for {
 		if done, err := c.flush(); done || err != nil {
+			if err == nil {
+				c.linger()
+			}
 			return err
 		}
 		err := step(c.r)
@@ -118,15 +123,26 @@
 			c.mu.Unlock()
 			continue
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.expired() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.Expired() {
 			c.flush() // an error answer queued by the step still goes out
 			return err
 		}
 	}
 }
 
-// expired tells whether a read's time-out was the connection's own deadline.
-func (c *Conn) expired() bool {
+// linger lets the peer read the last bytes: closing while input is unread would
+// reset the connection and could take them away.
+func (c *Conn) linger() {
+	half, ok := c.nc.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	c.nc.SetReadDeadline(time.Now().Add(lingerFor))
+	io.Copy(io.Discard, c.nc)
+}
+
+// Expired tells whether a read's time-out was the connection's own deadline.
+func (c *Conn) Expired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.closing && len(c.queue) == 0 && !c.deadline.IsZero() && !time.Now().Before(c.deadline)
