--- /dev/null
+++ b/internal/standin/app.go
@@ -0,0 +1,58 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"time"
+
+	"quincerail.example/quincerail/protocol/uwsgi"
+)
+
+// App stands in for a uwsgi application server.
+type App struct {
+	work     *Work
+	listener net.Listener
+}
+
+// NewApp starts a uwsgi application server that does some work.
+func NewApp(address string, work *Work) (*App, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("uwsgi app: %w", err)
+	}
+	a := &App{work: work, listener: l}
+	go accept(l, a.serve)
+	return a, nil
+}
+
+// Addr is where it listens.
+func (a *App) Addr() string { return a.listener.Addr().String() }
+
+// Close ends it.
+func (a *App) Close() { a.listener.Close() }
+
+func (a *App) serve(nc net.Conn) {
+	defer nc.Close()
+	r := bufio.NewReader(nc)
+	req, err := (&uwsgi.Decoder{MaxBody: 1 << 20}).Read(r)
+	if err != nil {
+		return
+	}
+	body := string(req.Body)
+	answer := func(status int, text string) {
+		nc.Write(uwsgi.AppendResponse(nil, uwsgi.Response{Status: status, Body: []byte(text),
+			Headers: []uwsgi.Var{{Name: "Content-Type", Value: "text/plain"}}}))
+	}
+	switch a.work.begin(body) {
+	case "fail":
+		answer(500, "failed")
+	case "break":
+	case "hang":
+		r.Peek(1) // until the app server gives up
+		a.work.stopped(body)
+	default:
+		time.Sleep(a.work.Took)
+		answer(200, Result(body))
+	}
+}
--- /dev/null
+++ b/internal/standin/callers.go
@@ -0,0 +1,253 @@
+package standin
+
+import (
+	"bufio"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"quincerail.example/quincerail/protocol/thrift"
+	"quincerail.example/quincerail/protocol/uwsgi"
+)
+
+// Outcome is what a caller was told.
+type Outcome struct {
+	Kind string // served, refused, failed
+	Body string // served
+}
+
+// Try is one try of a request on a connection of its own. Send may be called
+// with parts of the request, so that it is half read in between.
+type Try struct {
+	conn net.Conn
+	r    *bufio.Reader
+	rest []byte
+	read func(*bufio.Reader) (Outcome, error)
+	gone func(net.Conn)
+}
+
+// Caller makes tries over one front.
+type Caller func(address, class, key, body string) (*Try, error)
+
+// Send sends all that has not been sent.
+func (t *Try) Send() error {
+	_, err := t.conn.Write(t.rest)
+	t.rest = nil
+	return err
+}
+
+// SendHalf sends the first half of what has not been sent.
+func (t *Try) SendHalf() error {
+	n := len(t.rest) / 2
+	_, err := t.conn.Write(t.rest[:n])
+	t.rest = t.rest[n:]
+	return err
+}
+
+// Outcome waits for the answer, and closes the connection.
+func (t *Try) Outcome() (Outcome, error) {
+	defer t.conn.Close()
+	t.conn.SetReadDeadline(time.Now().Add(20 * time.Second))
+	return t.read(t.r)
+}
+
+// GiveUp tells, in the way of the protocol, that nobody waits any more.
+func (t *Try) GiveUp() { t.gone(t.conn) }
+
+// ids makes the tries' ids; they only have to differ.
+var ids atomic.Uint64
+
+func try(address string, request []byte) (*Try, error) {
+	nc, err := net.Dial("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	return &Try{conn: nc, r: bufio.NewReader(nc), rest: request}, nil
+}
+
+// Thrift is a caller that speaks the balancers' protocol.
+func Thrift(address, class, key, body string) (*Try, error) {
+	fields := map[string]string{"verb": class, "txn": fmt.Sprintf("%016x", ids.Add(1)), "lb": "1",
+		"door": strconv.FormatInt(time.Now().UnixMilli(), 10), "ram": "20", "standing": "0.5"}
+	if key != "" {
+		fields["unique"] = key
+	}
+	t, err := try(address, AppendExecute(nil, 1, fields, []byte(body)))
+	if err != nil {
+		return nil, err
+	}
+	t.read = func(r *bufio.Reader) (Outcome, error) {
+		for {
+			reply, err := ReadReply(r)
+			if err != nil || reply.Name == "execute" {
+				return reply.Outcome(), err
+			}
+		}
+	}
+	t.gone = func(nc net.Conn) { nc.Write(AppendInterrupt(nil, 2, 1)) }
+	return t, nil
+}
+
+// UWSGI is a caller that speaks uwsgi. It asks for the path /CLASS.
+func UWSGI(address, class, key, body string) (*Try, error) {
+	vars := []uwsgi.Var{{Name: "REQUEST_METHOD", Value: "POST"}, {Name: "PATH_INFO", Value: "/" + class}}
+	if key != "" {
+		vars = append(vars, uwsgi.Var{Name: "HTTP_IDEMPOTENCY_KEY", Value: key})
+	}
+	request, err := uwsgi.AppendRequest(nil, vars, []byte(body))
+	if err != nil {
+		return nil, err
+	}
+	t, err := try(address, request)
+	if err != nil {
+		return nil, err
+	}
+	t.read = func(r *bufio.Reader) (Outcome, error) {
+		resp, err := uwsgi.ReadResponse(r)
+		if err != nil {
+			return Outcome{}, err
+		}
+		switch resp.Status {
+		case 200:
+			return Outcome{"served", string(resp.Body)}, nil
+		case 503:
+			for _, h := range resp.Headers {
+				if h.Name == "Retry-After" {
+					return Outcome{Kind: "refused"}, nil
+				}
+			}
+		case 502, 504:
+			return Outcome{Kind: "failed"}, nil
+		}
+		return Outcome{}, fmt.Errorf("status %d", resp.Status)
+	}
+	t.gone = func(nc net.Conn) { nc.Close() }
+	return t, nil
+}
+
+// AppendExecute appends a call of execute.
+func AppendExecute(to []byte, seq int32, fields map[string]string, body []byte) []byte {
+	var args []byte
+	args = append(args, 13, 0, 1, 11, 11)
+	args = binary.BigEndian.AppendUint32(args, uint32(len(fields)))
+	for name, value := range fields {
+		args = appendString(appendString(args, name), value)
+	}
+	args = append(args, 11, 0, 2)
+	return appendMessage(to, thrift.Call, "execute", seq, appendString(args, string(body)))
+}
+
+// AppendInterrupt appends the message that a call is given up.
+func AppendInterrupt(to []byte, seq, target int32) []byte {
+	args := binary.BigEndian.AppendUint32([]byte{8, 0, 1}, uint32(target))
+	return appendMessage(to, thrift.Oneway, "interrupt", seq, args)
+}
+
+// AppendCheck appends a health check.
+func AppendCheck(to []byte, seq int32, probe bool) []byte {
+	args := []byte{2, 0, 1, 0}
+	if probe {
+		args[3] = 1
+	}
+	return appendMessage(to, thrift.Call, "check", seq, args)
+}
+
+func appendString(b []byte, s string) []byte {
+	return append(binary.BigEndian.AppendUint32(b, uint32(len(s))), s...)
+}
+
+func appendMessage(to []byte, t thrift.MessageType, name string, seq int32, args []byte) []byte {
+	m := appendString([]byte{0x80, 1, 0, byte(t)}, name)
+	m = binary.BigEndian.AppendUint32(m, uint32(seq))
+	m = append(append(m, args...), 0)
+	return append(binary.BigEndian.AppendUint32(to, uint32(len(m))), m...)
+}
+
+// Reply is a message from the app server.
+type Reply struct {
+	Type   thrift.MessageType
+	Name   string
+	Seq    int32
+	Which  int16 // field of the result: 0 Answer, 1 Shed, 2 Fault
+	Body   string
+	Fields map[string]string
+	Good   bool
+}
+
+// Outcome says what an execute's reply means.
+func (r Reply) Outcome() Outcome {
+	switch {
+	case r.Type == thrift.Exception || r.Which == 2:
+		return Outcome{Kind: "failed"}
+	case r.Which == 1:
+		return Outcome{Kind: "refused"}
+	}
+	return Outcome{"served", r.Body}
+}
+
+// ReadReply reads one message from the app server.
+func ReadReply(r *bufio.Reader) (Reply, error) {
+	var size [4]byte
+	if _, err := io.ReadFull(r, size[:]); err != nil {
+		return Reply{}, err
+	}
+	frame := make([]byte, binary.BigEndian.Uint32(size[:]))
+	if _, err := io.ReadFull(r, frame); err != nil {
+		return Reply{}, err
+	}
+	return parseReply(frame)
+}
+
+var errReply = errors.New("a reply that can't be read")
+
+func parseReply(b []byte) (reply Reply, err error) {
+	defer func() {
+		if recover() != nil {
+			err = errReply
+		}
+	}()
+	take := func(n int) []byte { p := b[:n]; b = b[n:]; return p }
+	u32 := func() int { return int(binary.BigEndian.Uint32(take(4))) }
+	text := func() string { return string(take(u32())) }
+	if v := take(4); v[0] != 0x80 || v[1] != 1 {
+		return reply, errReply
+	} else {
+		reply.Type = thrift.MessageType(v[3])
+	}
+	reply.Name, reply.Seq = text(), int32(u32())
+	if reply.Type != thrift.Reply {
+		return reply, nil
+	}
+	if kind := take(1)[0]; kind != 12 {
+		return reply, errReply
+	}
+	reply.Which = int16(binary.BigEndian.Uint16(take(2)))
+	reply.Fields = make(map[string]string)
+	for kind := take(1)[0]; kind != 0; kind = take(1)[0] {
+		take(2)
+		switch kind {
+		case 11:
+			reply.Body = text()
+		case 13:
+			take(2)
+			for range u32() {
+				name := text()
+				reply.Fields[name] = text()
+			}
+		case 2:
+			reply.Good = take(1)[0] != 0
+		default:
+			return reply, errReply
+		}
+	}
+	if strings.TrimRight(string(b), "\x00") != "" {
+		return reply, errReply
+	}
+	return reply, nil
+}
--- /dev/null
+++ b/internal/standin/services.go
@@ -0,0 +1,124 @@
+package standin
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+
+	"quincerail.example/quincerail/protocol/lines"
+)
+
+// Ledger stands in for the ledger. It answers a call by its body's second
+// word: full, error, expired or moot, hold (no reply until Release), break (it closes
+// the connection), else posted with Result(body).
+type Ledger struct {
+	listener net.Listener
+	Calls    chan string // bodies
+	Given    chan string // ids of calls that were given up
+}
+
+// NewLedger starts a ledger.
+func NewLedger(address string) (*Ledger, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("ledger: %w", err)
+	}
+	s := &Ledger{listener: l, Calls: make(chan string, 1024), Given: make(chan string, 1024)}
+	go accept(l, s.serve)
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *Ledger) Addr() string { return s.listener.Addr().String() }
+
+// Close ends it.
+func (s *Ledger) Close() { s.listener.Close() }
+
+func (s *Ledger) serve(nc net.Conn) {
+	defer nc.Close()
+	r := bufio.NewReaderSize(nc, 16<<10)
+	for {
+		words, body, err := lines.Read(r, func(w []string) bool { return w[0] == "post" })
+		if err != nil {
+			return
+		}
+		if words[0] == "abandon" {
+			s.Given <- words[1]
+			continue
+		}
+		s.Calls <- string(body)
+		_, how, _ := strings.Cut(string(body), " ")
+		switch how {
+		case "full":
+			fmt.Fprintf(nc, "%s queue_full\r\n", words[1])
+		case "error", "expired", "moot":
+			fmt.Fprintf(nc, "%s %s\r\n", words[1], how)
+		case "hold":
+		case "break":
+			return
+		default:
+			result := Result(string(body))
+			fmt.Fprintf(nc, "%s posted %d\r\n%s\r\n", words[1], len(result), result)
+		}
+	}
+}
+
+// Announce stands in for the announce service.
+type Announce struct {
+	listener net.Listener
+	Reports  chan string // path and body of each report
+
+	mu    sync.Mutex
+	conns []net.Conn
+}
+
+// NewAnnounce starts an announce service.
+func NewAnnounce(address string) (*Announce, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, fmt.Errorf("announce: %w", err)
+	}
+	s := &Announce{listener: l, Reports: make(chan string, 1024)}
+	go accept(l, s.serve)
+	return s, nil
+}
+
+// Addr is where it listens.
+func (s *Announce) Addr() string { return s.listener.Addr().String() }
+
+// Close ends it, with its connections.
+func (s *Announce) Close() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *Announce) serve(nc net.Conn) {
+	defer nc.Close()
+	s.mu.Lock()
+	s.conns = append(s.conns, nc)
+	s.mu.Unlock()
+	r := bufio.NewReader(nc)
+	for {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(req.Body)
+		if err != nil {
+			return
+		}
+		select {
+		case s.Reports <- req.Method + " " + req.URL.Path + " " + string(body):
+		default: // nobody is looking
+		}
+		fmt.Fprint(nc, "HTTP/1.1 204 No Content\r\n\r\n")
+	}
+}
--- /dev/null
+++ b/internal/standin/work.go
@@ -0,0 +1,60 @@
+// Package standin has stand-ins for the parties around the app server, made
+// from their published protocols: processor, ledger, announce service, uwsgi
+// application server, and callers of both fronts. The tests and the example
+// use them.
+package standin
+
+import (
+	"strings"
+	"sync"
+	"time"
+)
+
+// Work is what a backend stand-in does with a body, by its first word:
+//
+//	fail  it ends badly
+//	hang  it runs until it is stopped
+//	call  it calls the ledger with the whole body, and returns the reply
+//	else  it returns Result(body)
+//
+// It is safe for concurrent use.
+type Work struct {
+	Took time.Duration // of work that neither fails nor hangs
+
+	mu     sync.Mutex
+	counts map[string]int
+	begun  chan string
+	ended  chan string
+}
+
+// NewWork makes work that takes a time.
+func NewWork(took time.Duration) *Work {
+	return &Work{Took: took, counts: make(map[string]int), begun: make(chan string, 1024), ended: make(chan string, 1024)}
+}
+
+// Result is what work on a body returns.
+func Result(body string) string { return "done: " + body }
+
+// Begun gives the body of each run as it begins.
+func (w *Work) Begun() <-chan string { return w.begun }
+
+// Stopped gives the body of each run that was stopped.
+func (w *Work) Stopped() <-chan string { return w.ended }
+
+// Runs tells how often work on a body was begun.
+func (w *Work) Runs(body string) int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.counts[body]
+}
+
+func (w *Work) begin(body string) (word string) {
+	w.mu.Lock()
+	w.counts[body]++
+	w.mu.Unlock()
+	w.begun <- body
+	word, _, _ = strings.Cut(body, " ")
+	return word
+}
+
+func (w *Work) stopped(body string) { w.ended <- body }
