--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -28,6 +28,7 @@
 	conn net.Conn
 	r    *bufio.Reader
 	rest []byte
+	door []byte // part of rest: the time of arrival, written when the last byte is sent
 	read func(*bufio.Reader) (Outcome, error)
 	gone func(net.Conn)
 }
@@ -37,6 +38,7 @@
 
 // Send sends all that has not been sent.
 func (t *Try) Send() error {
+	copy(t.door, door())
 	_, err := t.conn.Write(t.rest)
 	t.rest = nil
 	return err
@@ -73,8 +75,7 @@
 
 // Thrift is a caller that speaks the balancers' protocol.
 func Thrift(address, class, key, body string) (*Try, error) {
-	fields := map[string]string{"verb": class, "txn": fmt.Sprintf("%016x", ids.Add(1)), "lb": "1",
-		"door": strconv.FormatInt(time.Now().UnixMilli(), 10), "ram": "20", "standing": "0.5"}
+	fields := map[string]string{"verb": class, "txn": NewID(), "lb": "1", "ram": "20", "standing": "0.5"}
 	if key != "" {
 		fields["unique"] = key
 	}
@@ -82,6 +83,8 @@
 	if err != nil {
 		return nil, err
 	}
+	end := len(t.rest) - 1 // the struct's end
+	t.door = t.rest[end-len(door()) : end]
 	t.read = func(r *bufio.Reader) (Outcome, error) {
 		for {
 			reply, err := ReadReply(r)
@@ -131,16 +134,23 @@
 	return t, nil
 }
 
-// AppendExecute appends a call of execute.
+// NewID gives an id for a try.
+func NewID() string { return fmt.Sprintf("%016x", ids.Add(1)) }
+
+// door is the present time as the field of that name has it.
+func door() string { return strconv.FormatInt(time.Now().UnixMilli(), 10) }
+
+// AppendExecute appends a call of execute that arrives now. The field door is
+// the last thing in it but for the end.
 func AppendExecute(to []byte, seq int32, fields map[string]string, body []byte) []byte {
-	var args []byte
+	args := appendString([]byte{11, 0, 2}, string(body))
 	args = append(args, 13, 0, 1, 11, 11)
-	args = binary.BigEndian.AppendUint32(args, uint32(len(fields)))
+	args = binary.BigEndian.AppendUint32(args, uint32(len(fields)+1))
 	for name, value := range fields {
 		args = appendString(appendString(args, name), value)
 	}
-	args = append(args, 11, 0, 2)
-	return appendMessage(to, thrift.Call, "execute", seq, appendString(args, string(body)))
+	args = appendString(appendString(args, "door"), door())
+	return appendMessage(to, thrift.Call, "execute", seq, args)
 }
 
 // AppendInterrupt appends the message that a call is given up.
--- a/internal/standin/processor.go
+++ b/internal/standin/processor.go
@@ -17,11 +17,13 @@
 	work     *Work
 	listener net.Listener
 	born     time.Time
+	up       chan struct{}
 
 	mu      sync.Mutex
 	link    net.Conn
 	notices []string // as sent; number n is at n-1
 	runs    map[string]*run
+	usages  int
 }
 
 type run struct {
@@ -37,7 +39,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("processor: %w", err)
 	}
-	p := &Processor{work: work, listener: l, born: time.Now(), runs: make(map[string]*run)}
+	p := &Processor{work: work, listener: l, born: time.Now(), up: make(chan struct{}), runs: make(map[string]*run)}
 	go accept(l, p.serve)
 	return p, nil
 }
@@ -45,6 +47,10 @@
 // Addr is where it listens.
 func (p *Processor) Addr() string { return p.listener.Addr().String() }
 
+// Up is closed when the app server's module is at work: it asks for the gauges
+// again and again.
+func (p *Processor) Up() <-chan struct{} { return p.up }
+
 // Close ends it.
 func (p *Processor) Close() { p.listener.Close(); p.Break() }
 
@@ -117,6 +123,9 @@
 			p.complete(id, r, "good", []byte("without"))
 		}
 	case "usage":
+		if p.usages++; p.usages == 3 {
+			close(p.up)
+		}
 		fmt.Fprintf(nc, "used %s 0.1 %d 0.1 1\r\n", id, len(p.runs))
 	case "trial":
 		fmt.Fprintf(nc, "tried %s good\r\n", id)
