--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -6,15 +6,14 @@
 	"encoding/hex"
 	"errors"
 	"io"
-	"math"
 	"net/http"
 	"os"
-	"strconv"
 	"strings"
 	"sync"
 	"time"
 
 	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/protocol/httpresult"
 	"quincerail.example/quincerail/protocol/uwsgi"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/transport"
@@ -89,15 +88,15 @@
 	case err == nil:
 		u.take(req)
 	case errors.Is(err, uwsgi.ErrMalformed):
-		u.respond(http.StatusBadRequest, nil)
+		u.respond(http.StatusBadRequest)
 	case errors.Is(err, uwsgi.ErrTooLarge):
-		u.respond(http.StatusRequestEntityTooLarge, nil)
+		u.respond(http.StatusRequestEntityTooLarge)
 	case errors.Is(err, os.ErrDeadlineExceeded) && late && !u.decoder.Started():
 		return io.EOF // nothing was read of it, so nothing is owed
 	case errors.Is(err, os.ErrDeadlineExceeded) && late:
-		u.respond(http.StatusServiceUnavailable, []uwsgi.Var{retryAfter(0)})
+		u.refuse(0)
 	case errors.Is(err, os.ErrDeadlineExceeded) && u.conn.Expired() && u.decoder.Started():
-		u.respond(http.StatusRequestTimeout, nil)
+		u.respond(http.StatusRequestTimeout)
 	default:
 		return err
 	}
@@ -114,16 +113,16 @@
 	if f.config.HealthPath != "" && path == f.config.HealthPath {
 		f.core.Check(false, func(good bool) {
 			if good {
-				u.respond(http.StatusOK, nil)
+				u.respond(http.StatusOK)
 			} else {
-				u.respond(http.StatusServiceUnavailable, []uwsgi.Var{retryAfter(0)})
+				u.refuse(0)
 			}
 		})
 		return
 	}
 	route, ok := f.routes.Match(req.Get("REQUEST_METHOD"), path)
 	if !ok {
-		u.respond(http.StatusNotFound, nil)
+		u.respond(http.StatusNotFound)
 		return
 	}
 	payload := routing.Payload{Body: req.Body}
@@ -140,7 +139,7 @@
 		Door: time.Now(), Caller: -1, HeldKB: uwsgiBaseKB + float64(size)/1024, Payload: payload,
 		Backend: f.backend, Sink: u})
 	if err != nil { // a keyed class without its key
-		u.respond(http.StatusBadRequest, nil)
+		u.respond(http.StatusBadRequest)
 	}
 }
 
@@ -155,39 +154,25 @@
 func (u *uwsgiConn) Answer(_ string, o routing.Outcome) {
 	switch o.Kind {
 	case routing.Served:
-		u.send(response(o.Result))
+		status, headers, body := httpresult.Decode(o.Result)
+		resp := uwsgi.Response{Status: status, Body: body}
+		for _, h := range headers {
+			resp.Headers = append(resp.Headers, uwsgi.Var(h))
+		}
+		u.send(resp)
 	case routing.Refused:
-		u.respond(http.StatusServiceUnavailable, []uwsgi.Var{retryAfter(o.Later)})
-	case routing.TimedOut:
-		u.respond(http.StatusGatewayTimeout, nil)
+		u.refuse(o.Later)
 	default:
-		u.respond(http.StatusBadGateway, nil)
-	}
-}
-
-// response makes an HTTP response of a result. One that a backend of another
-// kind made has no status and no headers.
-func response(p routing.Payload) uwsgi.Response {
-	resp := uwsgi.Response{Status: http.StatusOK, Body: p.Body}
-	for _, f := range p.Fields {
-		if f.Name == statusField {
-			resp.Status, _ = strconv.Atoi(f.Value)
-			continue
-		}
-		resp.Headers = append(resp.Headers, uwsgi.Var(f))
-	}
-	if len(p.Fields) == 0 {
-		resp.Headers = []uwsgi.Var{{Name: "Content-Type", Value: "application/octet-stream"}}
+		u.respond(httpresult.Status(o.Kind))
 	}
-	return resp
 }
 
-// retryAfter tells when to come back, in whole seconds and never at once.
-func retryAfter(later time.Duration) uwsgi.Var {
-	return uwsgi.Var{Name: "Retry-After", Value: strconv.Itoa(int(max(1, math.Ceil(later.Seconds()))))}
+// refuse turns the request away and tells when to come back.
+func (u *uwsgiConn) refuse(later time.Duration) {
+	u.respond(http.StatusServiceUnavailable, uwsgi.Var{Name: "Retry-After", Value: httpresult.RetryAfter(later)})
 }
 
-func (u *uwsgiConn) respond(status int, headers []uwsgi.Var) {
+func (u *uwsgiConn) respond(status int, headers ...uwsgi.Var) {
 	u.send(uwsgi.Response{Status: status, Headers: append(headers, uwsgi.Var{Name: "Content-Type", Value: "text/plain"}),
 		Body: []byte(http.StatusText(status) + "\n")})
 }
--- a/program/uwsgibackend.go
+++ b/program/uwsgibackend.go
@@ -4,17 +4,14 @@
 	"bufio"
 	"context"
 	"net"
-	"strconv"
 	"sync"
 	"time"
 
+	"quincerail.example/quincerail/protocol/httpresult"
 	"quincerail.example/quincerail/protocol/uwsgi"
 	"quincerail.example/quincerail/routing"
 )
 
-// statusField is the field of a result that holds its HTTP status.
-const statusField = ":status"
-
 // uwsgiBackend runs requests at a uwsgi application server, a connection each.
 // A run is sent once: after a break nobody knows whether it had its effect.
 type uwsgiBackend struct {
@@ -73,10 +70,11 @@
 	if err != nil {
 		return routing.Bad, routing.Payload{}
 	}
-	result := routing.Payload{Body: resp.Body, Fields: []routing.Field{{Name: statusField, Value: strconv.Itoa(resp.Status)}}}
+	var headers []routing.Field
 	for _, h := range resp.Headers {
-		result.Fields = append(result.Fields, routing.Field(h))
+		headers = append(headers, routing.Field(h))
 	}
+	result := httpresult.Encode(resp.Status, headers, resp.Body)
 	if resp.Status >= 500 {
 		return routing.Bad, result
 	}
--- a/routing/core.go
+++ b/routing/core.go
@@ -98,6 +98,9 @@
 	}
 }
 
+// Done is closed when Run has ended.
+func (c *Core) Done() <-chan struct{} { return c.done }
+
 // tick reads the clock. It never goes back, even if the machine's does.
 func (c *Core) tick() { c.now = max(c.now, time.Duration(time.Now().UnixNano())) }
 
@@ -176,8 +179,8 @@
 
 // Check answers a health check: at once from the module's word, or a deep one
 // by a trial of the machine where the module has not settled it.
-func (c *Core) Check(deep bool, reply func(good bool)) {
-	c.post(func() {
+func (c *Core) Check(deep bool, reply func(good bool)) error {
+	return c.post(func() {
 		if !deep || c.stored || !c.fit || c.opt.Machine == nil {
 			reply(c.fit)
 			return
--- a/routing/relay.go
+++ b/routing/relay.go
@@ -25,7 +25,9 @@
 	case Good:
 		c.book(a, Outcome{Kind: Served, Result: result})
 	case Bad, Unborn:
-		c.book(a, c.failure(a))
+		o := c.failure(a)
+		o.Result = result
+		c.book(a, o)
 	}
 	a.begun = false
 	c.module.Done(c.now, id, outcome, took)
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -58,7 +58,7 @@
 // Outcome is a request's final answer.
 type Outcome struct {
 	Kind   Kind
-	Result Payload       // served
+	Result Payload       // served; failed: what the run said, if anything
 	Later  time.Duration // refused: how long to stay away
 	GiveUp bool          // refused: the wish that it is not tried elsewhere
 }
