--- /dev/null
+++ b/routing/core_test.go
@@ -0,0 +1,375 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quincerail.example/quincerail/internal/steps"
+	"quincerail.example/quincerail/policy"
+)
+
+const (
+	testWindow   = 20 * time.Second
+	testDeadline = 5 * time.Second
+	testGrace    = 2 * time.Second
+	testSlack    = 60 * time.Millisecond
+)
+
+// party plays the backend, the dependency and the callers, and keeps the books
+// by which the rules are judged.
+type party struct {
+	*Core
+	mu       sync.Mutex           // the test holds it but for its waits
+	begun    map[string]time.Time // runs that have not ended, by request
+	runs     map[string]int
+	answers  map[string][]Outcome
+	answered map[string]time.Time
+	asked    map[string]int // number of the call that is out
+	resumed  map[string]string
+	stopped  []string
+	present  []bool
+	cancel   context.CancelFunc
+}
+
+func (p *party) lock() (unlock func()) {
+	p.mu.Lock()
+	return p.mu.Unlock
+}
+
+// sleep lets time pass, and all come to rest that happens in it.
+func (p *party) sleep(d time.Duration) {
+	p.mu.Unlock()
+	defer p.mu.Lock()
+	time.Sleep(d)
+	synctest.Wait()
+}
+
+// wait lets all come to rest that happens now.
+func (p *party) wait() { p.sleep(0) }
+
+// Begin implements Backend.
+func (p *party) Begin(r Run) {
+	defer p.lock()()
+	p.begun[r.ID] = time.Now()
+	p.runs[r.ID]++
+}
+
+// Interrupt implements Backend.
+func (p *party) Interrupt(id string) {
+	defer p.lock()()
+	p.stopped = append(p.stopped, id)
+	if _, ok := p.begun[id]; ok {
+		delete(p.begun, id)
+		go p.Completed(id, Cut, 0, Payload{})
+	}
+}
+
+// Answer implements Backend.
+func (p *party) Answer(id string, reply []byte) {
+	defer p.lock()()
+	p.resumed[id] = string(reply)
+}
+
+// Without implements Backend.
+func (p *party) Without(id string, notice uint64) {
+	defer p.lock()()
+	p.resumed[id] = fmt.Sprint("without ", notice)
+}
+
+// Call implements Dependency.
+func (p *party) Call(id string, number int, _ time.Duration, _ []byte) {
+	defer p.lock()()
+	p.asked[id] = number
+}
+
+// Abandon implements Dependency.
+func (p *party) Abandon(id string) {
+	defer p.lock()()
+	delete(p.asked, id)
+}
+
+// Accepting implements Presence.
+func (p *party) Accepting(on bool) {
+	defer p.lock()()
+	p.present = append(p.present, on)
+}
+
+// sink is the Sink of a party.
+type sink struct{ *party }
+
+// Answer implements Sink.
+func (s sink) Answer(id string, o Outcome) {
+	defer s.lock()()
+	s.answers[id] = append(s.answers[id], o)
+	s.answered[id] = time.Now()
+}
+
+func settings() policy.Settings {
+	class := policy.Class{Aim: 2 * time.Second, Deadline: testDeadline, Worth: 1, Window: testWindow, Calls: true, LateWorth: 0.2}
+	keyed, skips := class, class
+	keyed.Effect, skips.SkipWorth = policy.Keyed, 0.6
+	return policy.Settings{Classes: []policy.Class{skips, keyed}, Servers: 1, Callers: 1, Cores: 2, MemoryKB: 10000,
+		KeyKB: 1, RunFactor: 4, Below: policy.BelowShared, CallsOut: 10, CallsOver: 5 * time.Second, Linger: 200 * time.Millisecond,
+		Stop: policy.StopDrop, MaxAdvice: time.Second, AnswerSlack: testSlack, DrainGrace: testGrace,
+		FallMultiple: 8, FallSpan: 1500 * time.Millisecond, ColdFrom: 0.3, ColdSpan: 10 * time.Second, BatchGap: 4 * time.Millisecond}
+}
+
+func newParty(t *testing.T) *party {
+	t.Helper()
+	p := &party{begun: make(map[string]time.Time), runs: make(map[string]int), answers: make(map[string][]Outcome),
+		answered: make(map[string]time.Time), asked: make(map[string]int), resumed: make(map[string]string)}
+	core, err := New(Options{Settings: settings(), Classes: []string{"read", "gift"}, Seed: 1, Backend: p, Dependency: p, Presence: p})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	p.Core, p.cancel = core, cancel
+	go core.Run(ctx)
+	core.Started(false, 0)
+	p.mu.Lock()
+	p.wait()
+	return p
+}
+
+// end stops the core, and lets what is left of its timers go.
+func (p *party) end() {
+	p.cancel()
+	p.sleep(time.Minute)
+	p.mu.Unlock()
+}
+
+func (p *party) submit(t *testing.T, id, class, key string) {
+	t.Helper()
+	err := p.Submit(Request{ID: id, Class: class, Key: key, Door: time.Now(), HeldKB: 20, Sink: sink{p}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.wait()
+}
+
+func (p *party) complete(id string, end End, body string) {
+	delete(p.begun, id)
+	p.Completed(id, end, time.Second, Payload{Body: []byte(body)})
+	p.wait()
+}
+
+func bubble(t *testing.T, play func(t *testing.T, p *party)) {
+	t.Helper()
+	synctest.Test(t, func(t *testing.T) {
+		p := newParty(t)
+		defer p.end()
+		play(t, p)
+	})
+}
+
+// wantAnswer checks the one answer of a request.
+func (p *party) wantAnswer(t *testing.T, id string, kind Kind, body string) {
+	t.Helper()
+	got := p.answers[id]
+	if len(got) != 1 || got[0].Kind != kind || string(got[0].Result.Body) != body {
+		t.Errorf("%s: answers %+v, want one of kind %d with %q", id, got, kind, body)
+	}
+}
+
+func TestAnswersOnce(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.submit(t, "a", "read", "")
+		p.complete("a", Good, "page")
+		p.complete("a", Good, "page again")
+		p.Gone("a")
+		p.wait()
+		p.wantAnswer(t, "a", Served, "page")
+	})
+}
+
+// TestDeadlineByDoor guards that a request which was read late is due by when
+// it came to the machine.
+func TestDeadlineByDoor(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		began := time.Now()
+		p.Submit(Request{ID: "a", Class: "gift", Key: "k", Door: began.Add(-4 * time.Second), HeldKB: 20, Sink: sink{p}})
+		p.sleep(testDeadline)
+		p.wantAnswer(t, "a", TimedOut, "")
+		if took := p.answered["a"].Sub(began); took > time.Second+testSlack {
+			t.Errorf("answered after %v", took)
+		}
+		if len(p.stopped) != 1 {
+			t.Errorf("stopped %v", p.stopped)
+		}
+	})
+}
+
+// TestKeyAfterCut guards rule 2: a run that was stopped may have had its
+// effect, so its key neither runs again nor is refused within the window.
+func TestKeyAfterCut(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.submit(t, "a", "gift", "k")
+		p.Gone("a")
+		p.wait()
+		p.sleep(testWindow - time.Second)
+		p.submit(t, "b", "gift", "k")
+		p.wantAnswer(t, "b", Failed, "")
+		p.sleep(2 * time.Second)
+		p.submit(t, "c", "gift", "k")
+		if p.runs["b"] != 0 || p.runs["c"] != 1 {
+			t.Errorf("runs %v, want only c's beside a's", p.runs)
+		}
+	})
+}
+
+// TestUnbornLeavesKeyFree: a run that is proven not to have begun is no bar to
+// the next try.
+func TestUnbornLeavesKeyFree(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.submit(t, "a", "gift", "k")
+		p.complete("a", Unborn, "")
+		p.wantAnswer(t, "a", Failed, "")
+		p.submit(t, "b", "gift", "k")
+		p.complete("b", Good, "thanks")
+		p.wantAnswer(t, "b", Served, "thanks")
+	})
+}
+
+// TestCallGivenUp has a call hang: it is given up at the module's time-out, a
+// late reply to it is not taken for the next one's, and the run goes on without.
+func TestCallGivenUp(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.submit(t, "a", "read", "")
+		p.Asked("a", 7, []byte("call"))
+		p.wait()
+		first := p.asked["a"]
+		if first == 0 {
+			t.Fatal("no call was made")
+		}
+		for range 400 { // long enough for the time-out, too short for the deadline
+			p.sleep(10 * time.Millisecond)
+			if p.asked["a"] != first {
+				break
+			}
+		}
+		if p.asked["a"] == first {
+			t.Fatal("the call is never given up")
+		}
+		p.Called("a", first, policy.OK, []byte("late"))
+		p.wait()
+		if p.resumed["a"] == "late" {
+			t.Error("a reply to a call that was given up is passed on")
+		}
+	})
+}
+
+func TestResultsBounded(t *testing.T) {
+	table := newKeyTable(10 * entryBytes)
+	var first *entry
+	for i := range 8 {
+		a := &attempt{Request: Request{ID: fmt.Sprint(i), Key: fmt.Sprint("k", i)}}
+		table.enter(a)
+		table.claim(a, testWindow)
+		table.store(a.entry, Payload{Body: make([]byte, entryBytes)})
+		if i == 0 {
+			first = a.entry
+		}
+		table.leave(a)
+		if table.bytes > table.most {
+			t.Fatalf("%d bytes kept, %d at most", table.bytes, table.most)
+		}
+	}
+	if first.result != nil || first.ran != "0" {
+		t.Errorf("the oldest entry has result %v and ran %q; its result had to go, and its mark to stay", first.result, first.ran)
+	}
+	table.expire(testWindow + time.Second)
+	if len(table.entries) != 0 || table.bytes != 0 {
+		t.Errorf("%d entries and %d bytes after the window", len(table.entries), table.bytes)
+	}
+}
+
+// FuzzCore walks through a request's states in random order, and then judges
+// the whole by the rules.
+func FuzzCore(f *testing.F) {
+	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
+		p := newParty(t)
+		defer p.end()
+		type try struct {
+			key  string
+			door time.Time
+			gone bool
+		}
+		tries := make(map[string]*try)
+		var order []string
+		var notice uint64
+		var drainedAt time.Time
+		for s.More() && len(order) < 60 {
+			id := fmt.Sprintf("r%d", s.Pick(len(order)+1))
+			_, runs := p.begun[id]
+			switch s.Pick(8) {
+			case 0, 1, 2:
+				id = fmt.Sprintf("r%d", len(order))
+				class, key := "read", ""
+				if s.Pick(2) == 1 {
+					class, key = "gift", fmt.Sprintf("k%d", s.Pick(3))
+				}
+				order, tries[id] = append(order, id), &try{key: key, door: time.Now()}
+				p.submit(t, id, class, key)
+			case 3:
+				if runs {
+					p.complete(id, End(s.Pick(3)), "result of "+id)
+				}
+			case 4:
+				if x := tries[id]; x != nil && len(p.answers[id]) == 0 {
+					x.gone = true
+					p.Gone(id)
+				}
+			case 5:
+				if runs {
+					notice++
+					p.Asked(id, notice, []byte("call"))
+				}
+			case 6:
+				if n := p.asked[id]; n != 0 {
+					delete(p.asked, id)
+					p.Called(id, n, policy.Outcome(s.Pick(6)), []byte("reply"))
+				}
+			case 7:
+				p.sleep(time.Duration(1+s.Pick(200)) * 10 * time.Millisecond)
+				if s.Pick(40) == 0 && drainedAt.IsZero() {
+					drainedAt = time.Now()
+					p.Drain(drainedAt.Add(30 * time.Second))
+				}
+			}
+			p.wait()
+		}
+		p.sleep(testDeadline + time.Second)
+		ran := make(map[string]time.Time) // by key
+		for _, id := range order {
+			x, answers := tries[id], p.answers[id]
+			if len(answers) > 1 || len(answers) == 0 && !x.gone {
+				t.Errorf("%s: %d answers", id, len(answers))
+			}
+			if late := p.answered[id].Sub(x.door.Add(testDeadline + testSlack)); late > 0 {
+				t.Errorf("%s: answered %v late", id, late)
+			}
+			if p.runs[id] > 0 && !drainedAt.IsZero() && x.door.After(drainedAt.Add(testGrace)) {
+				t.Errorf("%s: run though it came after the grace", id)
+			}
+			if x.key == "" {
+				continue
+			}
+			if first, ok := ran[x.key]; ok && p.runs[id] > 0 && x.door.Before(first.Add(testWindow)) {
+				t.Errorf("%s: key %s was run within its window", id, x.key)
+			}
+			if p.runs[id] > 0 {
+				ran[x.key] = x.door
+				if len(answers) == 1 && answers[0].Kind == Refused {
+					t.Errorf("%s: refused after it was run", id)
+				}
+			}
+			if p.runs[id] > 1 {
+				t.Errorf("%s: run %d times", id, p.runs[id])
+			}
+		}
+	})
+}
