--- a/internal/steps/steps.go
+++ b/internal/steps/steps.go
@@ -40,7 +40,7 @@
 		f.Add(input)
 	}
 	f.Fuzz(func(t *testing.T, input []byte) {
-		synctest.Test(t, func(t *testing.T) { play(t, &Source{input}) })
+		synctest.Test(t, func(t *testing.T) { play(t, &Source{input[:min(len(input), length)]}) })
 	})
 }
 
