Resend what a broken processor link may have lost; check all codecs and links by models

Seen: in random walks over link breaks, begins that were written just before a break were never carried out. Cause: processorLink.proven took the answer to the first question on the new link as proof for commands sent on the old one (program/processor.go, the case Used). Commands now count as unsent once their link is lost.

--- /dev/null
+++ b/program/config_test.go
@@ -0,0 +1,93 @@
+package program
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+)
+
+func TestConfigFaults(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "example", "config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ParseConfig(string(text)); err != nil {
+		t.Fatalf("the example: %v", err)
+	}
+	for _, x := range []struct{ old, new, key string }{
+		{`"name": "n1"`, `"name": 1`, "name"},
+		{`"listen": "127.0.0.1:9090"`, `"listen": ""`, "listen"},
+		{`"stop_ms": 3200`, `"stop_ms": -1`, "stop_ms"},
+		{`"memory_mb": 192`, `"memory_mb": "192"`, "limits.memory_mb"},
+		{`"seed": "8c1f`, `"seed": "xyz`, "seed"},
+		{`"settings": {`, `"other": {`, "settings"},
+		{`"stopMode": "drop"`, `"stopMode": "never"`, "stopMode"},
+		{`"ledger": "127.0.0.1:7700",`, ``, "ledger"},
+		{`{`, `[`, "GW_CONFIG"},
+	} {
+		_, err := ParseConfig(strings.Replace(string(text), x.old, x.new, 1))
+		if err == nil || !strings.Contains(err.Error(), x.key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one line that names %s", x.new, err, x.key)
+		}
+	}
+}
+
+func TestUWSGIConfig(t *testing.T) {
+	const good = "listen = \"127.0.0.1:1\"\nbackend = \"127.0.0.1:2\"\n[[route]]\npath = \"/g\"\nclass = \"ny-gava\"\n"
+	classes := []string{"kampanjsida", "givarhistorik", "ny-gava"}
+	path := filepath.Join(t.TempDir(), "uwsgi.toml")
+	load := func(text string) (*UWSGIConfig, error) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		return LoadUWSGI(path, classes)
+	}
+	c, err := load(good)
+	if err != nil || c.MaxBody != defaultMaxBody || c.KeyVariable != "HTTP_IDEMPOTENCY_KEY" {
+		t.Errorf("%+v, %v", c, err)
+	}
+	for _, x := range []struct{ old, new, key string }{
+		{`listen = "127.0.0.1:1"`, ``, "listen"},
+		{`"127.0.0.1:2"`, `"nowhere"`, "backend"},
+		{`"ny-gava"`, `"gava"`, "route.class"},
+		{`"/g"`, `"g"`, "route.path"},
+		{`listen`, "max_body = -1\nlisten", "max_body"},
+		{`listen`, "liste = 1\nlisten", "liste"},
+		{`listen`, "describe = \"missing.json\"\nlisten", "describe"},
+		{`[[route]]`, "[[rutt]]", "rutt"},
+		{`backend = `, `backend `, "-uwsgi"},
+	} {
+		_, err := load(strings.Replace(good, x.old, x.new, 1))
+		if err == nil || !strings.Contains(err.Error(), x.key) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: error %v, want one line that names %s", x.new, err, x.key)
+		}
+	}
+	if _, err := LoadUWSGI(filepath.Join("..", "deploy", "uwsgi.toml"), classes); err != nil {
+		t.Errorf("deploy/uwsgi.toml: %v", err)
+	}
+}
+
+// TestUWSGIRoutesFromDocument takes routes from a service's description.
+func TestUWSGIRoutesFromDocument(t *testing.T) {
+	doc, err := os.ReadFile(filepath.Join("..", "describe", "testdata", "openapi.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := t.TempDir()
+	if err := os.WriteFile(filepath.Join(dir, "api.json"), doc, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(dir, "uwsgi.toml")
+	text := "listen = \"127.0.0.1:1\"\nbackend = \"127.0.0.1:2\"\ndescribe = \"api.json\"\n"
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c, err := LoadUWSGI(path, []string{"kampanjsida", "ny-gava"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r, ok := c.routes().Match("POST", "/gavor"); !ok || r.Class != "ny-gava" {
+		t.Errorf("POST /gavor: %+v, %t", r, ok)
+	}
+}
--- /dev/null
+++ b/program/fronts_test.go
@@ -0,0 +1,279 @@
+package program
+
+import (
+	"bufio"
+	"fmt"
+	"net"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quincerail.example/quincerail/internal/standin"
+	"quincerail.example/quincerail/internal/steps"
+	"quincerail.example/quincerail/protocol/thrift"
+	"quincerail.example/quincerail/protocol/uwsgi"
+	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/transport"
+)
+
+// instant is a backend whose runs end at once, but for bodies that say hang.
+type instant struct{ core *routing.Core }
+
+// Begin implements routing.Backend.
+func (b *instant) Begin(r routing.Run) {
+	if string(r.Payload.Body) != "hang" {
+		go b.core.Completed(r.ID, routing.Good, 0, r.Payload)
+	}
+}
+
+// Interrupt implements routing.Backend.
+func (b *instant) Interrupt(id string) { go b.core.Completed(id, routing.Cut, 0, routing.Payload{}) }
+
+// Answer implements routing.Backend.
+func (b *instant) Answer(string, []byte) {}
+
+// Without implements routing.Backend.
+func (b *instant) Without(string, uint64) {}
+
+func newInstant(t *testing.T) *instant {
+	b := &instant{}
+	b.core = newCore(t, routing.Options{Backend: b})
+	b.core.Started(false, 0)
+	return b
+}
+
+// dial opens a connection to a front without a network.
+func dial(f front) (far net.Conn, ended chan struct{}) {
+	near, far := net.Pipe()
+	ended = make(chan struct{})
+	go func() { f.serve(transport.NewConn(near)); close(ended) }()
+	return far, ended
+}
+
+// FuzzThriftConn checks a balancer's connection against a model: open with
+// calls that wait or were given up, and ended by a broken sequence. Each call
+// has one reply; one that was given up may have none.
+func FuzzThriftConn(f *testing.F) {
+	fields := func(id int, class string) map[string]string {
+		return map[string]string{"verb": class, "txn": fmt.Sprintf("%016x", id), "lb": "1", "ram": "1", "standing": "0"}
+	}
+	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
+		b := newInstant(t)
+		front := newThriftFront(b.core)
+		far, ended := dial(front)
+		replies := make(map[int32]int)
+		read := make(chan struct{})
+		go func() {
+			defer close(read)
+			for r := bufio.NewReader(far); ; {
+				reply, err := standin.ReadReply(r)
+				if err != nil {
+					return
+				}
+				replies[reply.Seq]++
+			}
+		}()
+		owed, gone, hanging := make(map[int32]bool), make(map[int32]bool), 0
+		seq := int32(0)
+		send := func(m []byte) { far.Write(m); synctest.Wait() }
+		for s.More() && seq < 60 {
+			seq++
+			switch s.Pick(6) {
+			case 0, 1:
+				owed[seq] = true
+				send(standin.AppendExecute(nil, seq, fields(int(seq), "givarhistorik"), nil))
+			case 2:
+				if owed[seq] = true; hanging < 3 {
+					hanging++
+					send(standin.AppendExecute(nil, seq, fields(int(seq), "givarhistorik"), []byte("hang")))
+				} else {
+					send(standin.AppendExecute(nil, seq, fields(int(seq), "okänd"), nil))
+				}
+			case 3:
+				target := int32(1 + s.Pick(int(seq)))
+				gone[target] = true
+				send(standin.AppendInterrupt(nil, seq, target))
+			case 4:
+				owed[seq] = true
+				send(standin.AppendCheck(nil, seq, s.Pick(2) == 1))
+			case 5:
+				time.Sleep(time.Duration(s.Pick(30)) * 100 * time.Millisecond)
+				front.leave()
+				synctest.Wait()
+			}
+		}
+		time.Sleep(5 * time.Second) // beyond the class's deadline
+		owed[seq+1] = true
+		send(standin.AppendCheck(nil, seq+1, false))
+		send(standin.AppendCheck(nil, seq+1, false)) // the same number again ends it
+		<-ended
+		<-read
+		delete(replies, 0) // leaving
+		for n := range owed {
+			if got := replies[n]; got != 1 && !(gone[n] && got == 0) {
+				t.Errorf("call %d: %d replies", n, got)
+			}
+			delete(replies, n)
+		}
+		if len(replies) > 0 {
+			t.Errorf("replies to nothing: %v", replies)
+		}
+	})
+}
+
+func uwsgiTestConfig() *UWSGIConfig {
+	return &UWSGIConfig{KeyVariable: "HTTP_IDEMPOTENCY_KEY", HealthPath: "/health", MaxBody: 64,
+		Routes: []UWSGIRoute{{"POST", "/gavor", "ny-gava"}, {"", "/k/{id}", "kampanjsida"}}}
+}
+
+// FuzzUWSGIConn checks a uwsgi connection against a model: nothing read, half
+// read, whole, answered. However a request is cut up, and whatever wakes the
+// connection, it has one response; half of it has one too when the grace of a
+// drain is over, and none of it has none.
+func FuzzUWSGIConn(f *testing.F) {
+	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
+		b := newInstant(t)
+		front := newUWSGIFront(b.core, b, uwsgiTestConfig())
+		far, ended := dial(front)
+		packet, err := uwsgi.AppendRequest(nil, []uwsgi.Var{{Name: "REQUEST_METHOD", Value: "POST"},
+			{Name: "PATH_INFO", Value: "/gavor"}, {Name: "HTTP_IDEMPOTENCY_KEY", Value: "k"}}, []byte("10 kr"))
+		if err != nil {
+			t.Fatal(err)
+		}
+		status := make(chan int, 1)
+		go func() {
+			resp, err := uwsgi.ReadResponse(bufio.NewReader(far))
+			if err != nil {
+				resp = &uwsgi.Response{}
+			}
+			status <- resp.Status
+		}()
+		sent, late, want := 0, false, 200
+		for s.More() && sent < len(packet) && !late {
+			switch s.Pick(4) {
+			case 0, 1:
+				n := min(len(packet)-sent, 1+s.Pick(40))
+				far.Write(packet[sent : sent+n])
+				sent += n
+			case 2:
+				front.conns.each(func(u *uwsgiConn) { u.conn.Wake() })
+			case 3:
+				late = s.Pick(12) == 0
+			}
+			synctest.Wait()
+		}
+		if late {
+			if want = 503; sent < 4 {
+				want = 0
+			}
+			front.refuseLate()
+		} else if sent < len(packet) {
+			if want = 408; sent < 4 {
+				want = 0
+			}
+			time.Sleep(uwsgiReadWithin)
+		}
+		if got := <-status; got != want {
+			t.Errorf("status %d with %d of %d bytes sent, late %t, want %d", got, sent, len(packet), late, want)
+		}
+		far.Close()
+		<-ended
+	})
+}
+
+// TestUWSGIStatuses sees each way in which a request ends before it is handed in.
+func TestUWSGIStatuses(t *testing.T) {
+	vars := func(method, path, key string) []uwsgi.Var {
+		v := []uwsgi.Var{{Name: "REQUEST_METHOD", Value: method}, {Name: "PATH_INFO", Value: path}}
+		if key != "" {
+			v = append(v, uwsgi.Var{Name: "HTTP_IDEMPOTENCY_KEY", Value: key})
+		}
+		return v
+	}
+	for _, x := range []struct {
+		name   string
+		vars   []uwsgi.Var
+		body   string
+		status int
+	}{
+		{"served", vars("GET", "/k/jul", ""), "", 200},
+		{"served by URI", []uwsgi.Var{{Name: "REQUEST_METHOD", Value: "GET"}, {Name: "REQUEST_URI", Value: "/k/jul?x=1"}}, "", 200},
+		{"healthy", vars("GET", "/health", ""), "", 200},
+		{"no route", vars("GET", "/om", ""), "", 404},
+		{"no key", vars("POST", "/gavor", ""), "10 kr", 400},
+		{"too large", vars("POST", "/gavor", "k"), strings.Repeat("x", 65), 413},
+		{"out of time", vars("GET", "/k/jul", ""), "hang", 503}, // the module turns safe work away when its time is over
+		{"out of time", vars("POST", "/gavor", "k"), "hang", 504},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newInstant(t)
+				far, ended := dial(newUWSGIFront(b.core, b, uwsgiTestConfig()))
+				packet, err := uwsgi.AppendRequest(nil, x.vars, []byte(x.body))
+				if err != nil {
+					t.Fatal(err)
+				}
+				go far.Write(packet)
+				resp, err := uwsgi.ReadResponse(bufio.NewReader(far))
+				if err != nil || resp.Status != x.status {
+					t.Errorf("%+v, %v, want status %d", resp, err, x.status)
+				}
+				far.Close()
+				<-ended
+			})
+		})
+	}
+}
+
+func TestUWSGIPing(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newInstant(t)
+		far, ended := dial(newUWSGIFront(b.core, b, uwsgiTestConfig()))
+		go far.Write([]byte{uwsgi.ModifierPing, 0, 0, 0})
+		pong := make([]byte, 4)
+		if _, err := far.Read(pong); err != nil || string(pong) != string(uwsgi.AppendPong(nil)) {
+			t.Errorf("%v, %v", pong, err)
+		}
+		far.Close()
+		<-ended
+	})
+}
+
+// TestThriftFaults sees that an intact call with wrong contents gets an
+// application exception and the connection goes on, and that too many open
+// calls are not taken.
+func TestThriftFaults(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newInstant(t)
+		far, ended := dial(newThriftFront(b.core))
+		r := bufio.NewReader(far)
+		good := map[string]string{"verb": "kampanjsida", "txn": "0000000000000001", "lb": "1", "ram": "1", "standing": "0"}
+		seq := int32(0)
+		for field, value := range map[string]string{"verb": "okänd", "txn": "xyz", "lb": "x", "ram": "0", "standing": "1"} {
+			seq++
+			fields := map[string]string{field: value}
+			for name, v := range good {
+				if name != field {
+					fields[name] = v
+				}
+			}
+			go far.Write(standin.AppendExecute(nil, seq, fields, nil))
+			if reply, err := standin.ReadReply(r); err != nil || reply.Type != thrift.Exception || reply.Seq != seq {
+				t.Errorf("%s %q: %+v, %v, want an exception", field, value, reply, err)
+			}
+		}
+		var calls []byte
+		for range maxOpen + 1 {
+			seq++
+			good["txn"] = fmt.Sprintf("%016x", seq)
+			calls = standin.AppendExecute(calls, seq, good, []byte("hang"))
+		}
+		go far.Write(calls)
+		if reply, err := standin.ReadReply(r); err != nil || reply.Type != thrift.Exception || reply.Seq != seq {
+			t.Errorf("one call too many: %+v, %v, want an exception", reply, err)
+		}
+		far.Close()
+		<-ended
+	})
+}
--- /dev/null
+++ b/program/links_test.go
@@ -0,0 +1,311 @@
+package program
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quincerail.example/quincerail/internal/steps"
+	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/protocol/lines"
+	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/transport"
+)
+
+// answers collects what a core answers.
+type answers chan string
+
+// Answer implements routing.Sink.
+func (a answers) Answer(id string, o routing.Outcome) { a <- fmt.Sprint(id, " ", o.Kind) }
+
+func newCore(t *testing.T, opt routing.Options) *routing.Core {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "example", "config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	c, err := ParseConfig(string(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	opt.Settings, opt.Classes = c.Settings, c.Classes
+	core, err := routing.New(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go core.Run(ctx)
+	t.Cleanup(cancel)
+	return core
+}
+
+func submit(t *testing.T, core *routing.Core, id, class string, sink routing.Sink) {
+	t.Helper()
+	err := core.Submit(routing.Request{ID: id, Class: class, Key: "key of " + id, Door: time.Now(), HeldKB: 1, Sink: sink,
+		Payload: routing.Payload{Body: []byte("body of " + id)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	synctest.Wait()
+}
+
+// engine is the processor's side of a link that breaks: it may lose what was
+// written last, and sends notices again.
+type engine struct {
+	t       *testing.T
+	link    *processorLink
+	near    *transport.Conn
+	far     net.Conn
+	done    chan struct{}
+	begun   []string
+	notices []string
+	deaf    bool // what is written now is lost with the link
+}
+
+func (e *engine) open() {
+	near, far := net.Pipe()
+	e.near, e.far, e.done, e.deaf = transport.NewConn(near), far, make(chan struct{}), false
+	go func() {
+		defer close(e.done)
+		r := bufio.NewReaderSize(far, 16<<10)
+		for {
+			words, _, err := lines.Read(r, func(w []string) bool { return w[0] == "begin" })
+			if err != nil {
+				return
+			}
+			e.command(words)
+		}
+	}()
+	go e.near.Serve(e.link.opened(e.near))
+	synctest.Wait()
+}
+
+func (e *engine) command(words []string) {
+	if e.deaf {
+		return
+	}
+	switch words[0] {
+	case "hello":
+		last, _ := strconv.Atoi(words[1])
+		fmt.Fprintf(e.far, "hi old 5\r\n%s", strings.Join(e.notices[last:], ""))
+	case "usage":
+		fmt.Fprintf(e.far, "used %s 0 0 0 0\r\n", words[1])
+	case "begin":
+		if !slices.Contains(e.begun, words[1]) { // for one that runs already nothing happens
+			e.begun = append(e.begun, words[1])
+		}
+	}
+}
+
+func (e *engine) complete(id string) {
+	text := fmt.Sprintf("complete %d %s good 1 2\r\nok\r\n", len(e.notices)+1, id)
+	e.notices = append(e.notices, text)
+	if !e.deaf { // else the link breaks before it is read
+		e.far.Write([]byte(text))
+	}
+	synctest.Wait()
+}
+
+func (e *engine) cut() {
+	e.far.Close()
+	<-e.done
+	synctest.Wait()
+	e.link.lost()
+}
+
+// FuzzProcessorLink checks the link against a model: up, deaf (about to break),
+// down. Every run is begun, in order, and its end is told once, however often
+// the link breaks and whatever is lost with it.
+func FuzzProcessorLink(f *testing.F) {
+	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
+		link := newProcessorLink(nil)
+		link.core = newCore(t, routing.Options{Backend: link, Machine: link})
+		e := &engine{t: t, link: link}
+		got := make(answers, 1000)
+		var sent, open []string
+		e.open()
+		for s.More() && len(sent) < 20 {
+			switch s.Pick(4) {
+			case 0, 1:
+				if len(open) < 4 { // so that all run at once
+					id := fmt.Sprint("r", len(sent))
+					sent, open = append(sent, id), append(open, id)
+					submit(t, link.core, id, "ny-gava", got)
+				}
+			case 2:
+				if i := s.Pick(len(open) + 1); i < len(open) && slices.Contains(e.begun, open[i]) {
+					e.complete(open[i])
+					open = slices.Delete(open, i, i+1)
+				}
+			case 3:
+				if e.deaf = !e.deaf; !e.deaf {
+					e.cut()
+					e.open()
+				}
+			}
+		}
+		if e.deaf {
+			e.cut()
+			e.open()
+		}
+		if !slices.Equal(e.begun, sent) {
+			t.Errorf("begun %v, sent %v", e.begun, sent)
+		}
+		for _, id := range open {
+			e.complete(id)
+		}
+		if len(got) != len(sent) {
+			t.Errorf("%d answers to %d requests", len(got), len(sent))
+		}
+		for range sent {
+			if a := <-got; !strings.HasSuffix(a, fmt.Sprint(" ", routing.Served)) {
+				t.Errorf("answer %s", a)
+			}
+		}
+		e.cut()
+	})
+}
+
+// TestProcessorReject sees that a begin which was not carried out fails its
+// request at once.
+func TestProcessorReject(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		link := newProcessorLink(nil)
+		link.core = newCore(t, routing.Options{Backend: link, Machine: link})
+		e := &engine{t: t, link: link}
+		e.open()
+		got := make(answers, 1)
+		submit(t, link.core, "r0", "kampanjsida", got)
+		fmt.Fprint(e.far, "reject begin r0\r\n")
+		if a := <-got; a != fmt.Sprint("r0 ", routing.Failed) {
+			t.Errorf("answer %s", a)
+		}
+		e.cut()
+	})
+}
+
+// asking is a backend whose runs stand at a call.
+type asking struct {
+	core    *routing.Core
+	resumed chan string
+}
+
+// Begin implements routing.Backend.
+func (a *asking) Begin(r routing.Run) { go a.core.Asked(r.ID, 1, r.Payload.Body) }
+
+// Interrupt implements routing.Backend.
+func (a *asking) Interrupt(id string) { go a.core.Completed(id, routing.Cut, 0, routing.Payload{}) }
+
+// Answer implements routing.Backend.
+func (a *asking) Answer(id string, reply []byte) {
+	a.resumed <- string(reply)
+	go a.core.Completed(id, routing.Good, 0, routing.Payload{})
+}
+
+// Without implements routing.Backend.
+func (a *asking) Without(id string, _ uint64) { a.Answer(id, []byte("without")) }
+
+// TestLedgerOutcomes maps what the ledger says, or does not, to what becomes of
+// a keyed request, which calls once and never again after an unclear end.
+func TestLedgerOutcomes(t *testing.T) {
+	for _, x := range []struct{ says, want string }{
+		{"posted 2\r\nok", fmt.Sprint("r ", routing.Served)},
+		{"error", fmt.Sprint("r ", routing.Failed)},
+		{"expired", fmt.Sprint("r ", routing.Failed)},
+		{"moot", fmt.Sprint("r ", routing.Failed)},
+		{"", fmt.Sprint("r ", routing.Failed)}, // the connection breaks
+		{"sing", fmt.Sprint("r ", routing.Failed)},
+	} {
+		t.Run(x.says, func(t *testing.T) {
+			l, err := net.Listen("tcp", "127.0.0.1:0")
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer l.Close()
+			go func() {
+				for nc, err := l.Accept(); err == nil; nc, err = l.Accept() {
+					words, _, _ := lines.Read(bufio.NewReader(nc), func(w []string) bool { return w[0] == "post" })
+					if x.says != "" {
+						fmt.Fprintf(nc, "%s %s\r\n", words[1], x.says)
+					}
+					if !strings.HasPrefix(x.says, "posted") {
+						nc.Close()
+					}
+				}
+			}()
+			pool, back := newLedgerPool(l.Addr().String()), &asking{resumed: make(chan string, 1)}
+			core := newCore(t, routing.Options{Backend: back, Dependency: pool})
+			pool.core, back.core = core, core
+			core.Started(false, 0)
+			got := make(answers, 1)
+			if err := core.Submit(routing.Request{ID: "r", Class: "ny-gava", Key: "k", Door: time.Now(), HeldKB: 1, Sink: got}); err != nil {
+				t.Fatal(err)
+			}
+			if a := <-got; a != x.want {
+				t.Errorf("answer %s, want %s", a, x.want)
+			}
+		})
+	}
+}
+
+// TestLedgerRefused sees that a refused connection counts as a call that never
+// ran: the call is made again, and served once the ledger is up.
+func TestLedgerRefused(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := l.Addr().String()
+	l.Close()
+	pool := newLedgerPool(address)
+	called := make(chan policy.Outcome, 1)
+	back := &asking{resumed: make(chan string, 1)}
+	core := newCore(t, routing.Options{Backend: back, Dependency: dependency{pool, called}})
+	pool.core, back.core = core, core
+	core.Started(false, 0)
+	got := make(answers, 1)
+	if err := core.Submit(routing.Request{ID: "r", Class: "ny-gava", Key: "k", Door: time.Now(), HeldKB: 1, Sink: got}); err != nil {
+		t.Fatal(err)
+	}
+	<-called
+	<-called // again: it has not been failed by the first
+	if l, err = net.Listen("tcp", address); err != nil {
+		t.Skipf("the port was taken meanwhile: %v", err)
+	}
+	defer l.Close()
+	go func() {
+		nc, err := l.Accept()
+		if err != nil {
+			return
+		}
+		words, _, _ := lines.Read(bufio.NewReader(nc), func(w []string) bool { return w[0] == "post" })
+		fmt.Fprintf(nc, "%s posted 2\r\nok\r\n", words[1])
+	}()
+	if a := <-got; a != fmt.Sprint("r ", routing.Served) {
+		t.Errorf("answer %s", a)
+	}
+}
+
+// dependency tells of each call on its way to the pool.
+type dependency struct {
+	*ledgerPool
+	called chan policy.Outcome
+}
+
+// Call implements routing.Dependency.
+func (d dependency) Call(id string, number int, wait time.Duration, body []byte) {
+	d.ledgerPool.Call(id, number, wait, body)
+	select {
+	case d.called <- policy.OK:
+	default:
+	}
+}
--- a/program/processor.go
+++ b/program/processor.go
@@ -21,7 +21,7 @@
 	id    string
 	kind  commandKind
 	after uint64 // number of the usage question that was sent before it
-	sent  bool
+	sent  bool // on the present link
 }
 
 type commandKind int
@@ -58,21 +58,29 @@
 // run keeps the link until ctx ends.
 func (p *processorLink) run(ctx context.Context, address string) {
 	transport.KeepLink(ctx, address, p.opened, func(err error) {
-		p.mu.Lock()
-		p.conn, p.greeting = nil, nil
-		clear(p.usages)
-		trials := p.trials
-		p.trials = make(map[string]func(bool))
-		p.mu.Unlock()
-		for _, reply := range trials {
-			reply(false)
-		}
+		p.lost()
 		if ctx.Err() == nil {
 			log.Printf("event=processor_link_lost error=%q", err)
 		}
 	})
 }
 
+// lost takes in that the link is broken. Trials on it have no result.
+func (p *processorLink) lost() {
+	p.mu.Lock()
+	p.conn, p.greeting = nil, nil
+	for i := range p.pending { // an answer on the next link proves nothing of what was sent on this one
+		p.pending[i].sent = false
+	}
+	clear(p.usages)
+	trials := p.trials
+	p.trials = make(map[string]func(bool))
+	p.mu.Unlock()
+	for _, reply := range trials {
+		reply(false)
+	}
+}
+
 func (p *processorLink) opened(c *transport.Conn) func(*bufio.Reader) error {
 	p.mu.Lock()
 	p.greeting = c
@@ -120,7 +128,7 @@
 		tell = func() { p.core.Asked(n.ID, n.Number, n.Payload) }
 	case processor.Used:
 		tag, _ := strconv.ParseUint(n.Tag, 10, 64)
-		p.proven(func(c command) bool { return c.after < tag })
+		p.proven(func(c command) bool { return c.sent && c.after < tag })
 		if p.greeting != nil && tag == p.marker {
 			p.conn, p.greeting = p.greeting, nil
 			p.resend()
@@ -144,9 +152,10 @@
 	tell()
 }
 
-// proven drops the sent commands that the processor has read.
+// proven drops the commands that the processor has read, or that a later notice
+// of their run makes void.
 func (p *processorLink) proven(read func(command) bool) {
-	p.pending = slices.DeleteFunc(p.pending, func(c command) bool { return c.sent && read(c) })
+	p.pending = slices.DeleteFunc(p.pending, read)
 }
 
 // resend sends what may have been lost, and what came while there was no link.
--- /dev/null
+++ b/protocol/ledger/ledger_test.go
@@ -0,0 +1,31 @@
+package ledger
+
+import (
+	"bufio"
+	"errors"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"quincerail.example/quincerail/protocol/lines"
+)
+
+func TestReplies(t *testing.T) {
+	r := bufio.NewReaderSize(strings.NewReader("a posted 2\r\nok\r\nb queue_full\r\nc error\r\nd expired\r\ne moot\r\nf paid\r\n"), 16<<10)
+	for _, want := range []Reply{{"a", Posted, []byte("ok")}, {"b", QueueFull, nil}, {"c", Errored, nil}, {"d", Expired, nil}, {"e", Moot, nil}} {
+		if got, err := Read(r); err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, %v, want %+v", got, err, want)
+		}
+	}
+	if _, err := Read(r); !errors.Is(err, lines.ErrBroken) {
+		t.Errorf("an unknown reply: error %v", err)
+	}
+}
+
+func TestCalls(t *testing.T) {
+	got := string(AppendAbandon(AppendPost(nil, "ab", 250*time.Millisecond, []byte("body")), "ab"))
+	if want := "post ab 250 4\r\nbody\r\nabandon ab\r\n"; got != want {
+		t.Errorf("got %q, want %q", got, want)
+	}
+}
--- /dev/null
+++ b/protocol/thrift/thrift_test.go
@@ -0,0 +1,112 @@
+package thrift_test
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"os"
+	"reflect"
+	"strings"
+	"testing"
+
+	"quincerail.example/quincerail/internal/standin"
+	"quincerail.example/quincerail/internal/steps"
+	"quincerail.example/quincerail/protocol/thrift"
+)
+
+func read(b []byte) (*thrift.Message, error) {
+	return thrift.Read(bufio.NewReaderSize(bytes.NewReader(b), 16<<10))
+}
+
+func TestMessages(t *testing.T) {
+	fields := map[string]string{"verb": "ny-gava", "unique": "k"}
+	m, err := read(standin.AppendExecute(nil, 3, fields, []byte("body")))
+	if err != nil || m.Name != "execute" || m.Seq != 3 || m.Fields["verb"] != "ny-gava" || m.Fields["door"] == "" ||
+		string(m.Body) != "body" || m.Err != nil {
+		t.Errorf("execute: %+v, %v", m, err)
+	}
+	if m, err = read(standin.AppendInterrupt(nil, 4, 3)); err != nil || m.Type != thrift.Oneway || m.Target != 3 {
+		t.Errorf("interrupt: %+v, %v", m, err)
+	}
+	if m, err = read(standin.AppendCheck(nil, 5, true)); err != nil || !m.Probe {
+		t.Errorf("check: %+v, %v", m, err)
+	}
+	if m, err = read(standin.AppendExecute(nil, 1, nil, make([]byte, thrift.MaxBody+1))); err != nil || m.Err == nil {
+		t.Errorf("a large body: %+v, %v, want an intact message at fault", m, err)
+	}
+}
+
+func TestReplies(t *testing.T) {
+	fields := map[string]string{"later": "250", "giveup": "1"}
+	for _, x := range []struct {
+		bytes []byte
+		want  standin.Reply
+	}{
+		{thrift.AppendAnswer(nil, "execute", 7, thrift.Answer{Body: []byte("b"), Good: true}),
+			standin.Reply{Type: thrift.Reply, Name: "execute", Seq: 7, Body: "b", Fields: map[string]string{}, Good: true}},
+		{thrift.AppendShed(nil, 8, fields),
+			standin.Reply{Type: thrift.Reply, Name: "execute", Seq: 8, Which: 1, Fields: fields}},
+		{thrift.AppendFault(nil, 9, nil),
+			standin.Reply{Type: thrift.Reply, Name: "execute", Seq: 9, Which: 2, Fields: map[string]string{}}},
+		{thrift.AppendException(nil, "sing", 10, thrift.UnknownMethod, "unknown"),
+			standin.Reply{Type: thrift.Exception, Name: "sing", Seq: 10}},
+		{thrift.AppendLeaving(nil), standin.Reply{Type: thrift.Oneway, Name: "leaving"}},
+	} {
+		got, err := standin.ReadReply(bufio.NewReader(bytes.NewReader(x.bytes)))
+		if err != nil || !reflect.DeepEqual(got, x.want) {
+			t.Errorf("got %+v, %v, want %+v", got, err, x.want)
+		}
+	}
+}
+
+// TestBroken sees that a frame is refused by its claimed length, before that
+// much is waited for or allocated, and so are other breaches.
+func TestBroken(t *testing.T) {
+	good := string(standin.AppendCheck(nil, 1, false))
+	deep := "\x00\x00\x00\x60\x80\x01\x00\x01\x00\x00\x00\x01x\x00\x00\x00\x01" + strings.Repeat("\x0c\x00\x09", 30)
+	for name, frame := range map[string]string{
+		"length":  "\x7f\xff\xff\xff",
+		"version": strings.Replace(good, "\x80\x01", "\x80\x02", 1),
+		"type":    strings.Replace(good, "\x80\x01\x00\x01", "\x80\x01\x00\x02", 1),
+		"map":     "\x00\x00\x00\x1d\x80\x01\x00\x01\x00\x00\x00\x07execute\x00\x00\x00\x01\x0d\x00\x01\x0b\x0b\x7f\xff\xff\xff",
+		"depth":   deep + strings.Repeat("\x00", 200),
+		"tail":    strings.Replace(good, "\x00\x00\x00\x16", "\x00\x00\x00\x17", 1) + "x",
+	} {
+		if _, err := read([]byte(frame)); !errors.Is(err, thrift.ErrBroken) {
+			t.Errorf("%s: error %v", name, err)
+		}
+	}
+}
+
+// FuzzRead sees that a message is read the same however it arrives, and that
+// no bytes panic the codec.
+func FuzzRead(f *testing.F) {
+	whole := standin.AppendExecute(nil, 1, map[string]string{"verb": "x"}, []byte("some body"))
+	whole = standin.AppendInterrupt(whole, 2, 1)
+	whole = standin.AppendCheck(whole, 3, true)
+	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
+		data := bytes.Clone(whole)
+		for range s.Pick(3) {
+			data[s.Pick(len(data))] = byte(s.Pick(256))
+		}
+		plain := bufio.NewReaderSize(bytes.NewReader(data), 16<<10)
+		broken := bufio.NewReaderSize(steps.Interrupted{Source: s, Data: bytes.NewReader(data)}, 16<<10)
+		for {
+			want, wantErr := thrift.Read(plain)
+			got, err := thrift.Read(broken)
+			for errors.Is(err, os.ErrDeadlineExceeded) {
+				got, err = thrift.Read(broken)
+			}
+			if !reflect.DeepEqual(got, want) || (err == nil) != (wantErr == nil) {
+				t.Fatalf("got %+v, %v, want %+v, %v", got, err, want, wantErr)
+			}
+			if err != nil {
+				if !errors.Is(err, thrift.ErrBroken) && !errors.Is(err, io.EOF) {
+					t.Fatalf("error %v", err)
+				}
+				return
+			}
+		}
+	})
+}
--- /dev/null
+++ b/transport/conn_test.go
@@ -0,0 +1,184 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quincerail.example/quincerail/internal/steps"
+)
+
+const frame = 3 // bytes of a message in these tests
+
+// peer is the other end of a connection, with what passed over it.
+type peer struct {
+	net.Conn
+	conn  *Conn
+	taken []byte // by the connection's steps
+	ended chan error
+}
+
+func newPeer() *peer {
+	near, far := net.Pipe()
+	p := &peer{Conn: far, conn: NewConn(near), ended: make(chan error, 1)}
+	go func() {
+		p.ended <- p.conn.Serve(func(r *bufio.Reader) error {
+			b, err := r.Peek(frame)
+			if err == nil {
+				p.taken = append(p.taken, b...)
+				r.Discard(frame)
+			}
+			return err
+		})
+	}()
+	return p
+}
+
+// FuzzConn checks a connection against a model: open, closing, closed. All that
+// was accepted for sending arrives in order, all that came is taken in order,
+// whatever interrupts what.
+func FuzzConn(f *testing.F) {
+	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
+		p := newPeer()
+		defer p.Close()
+		var got, sent, written []byte
+		received := make(chan []byte)
+		go func() { b, _ := io.ReadAll(p); received <- b }()
+		closing := false
+		for n := byte(0); s.More() && !closing; n++ {
+			switch s.Pick(5) {
+			case 0:
+				m := bytes.Repeat([]byte{n}, 1+s.Pick(5))
+				if !p.conn.Send(m) {
+					t.Fatal("an open connection takes nothing")
+				}
+				sent = append(sent, m...)
+			case 1:
+				m := bytes.Repeat([]byte{n}, 1+s.Pick(5))
+				p.SetWriteDeadline(time.Now().Add(time.Second))
+				if _, err := p.Write(m); err != nil {
+					t.Fatalf("the peer can't write: %v", err)
+				}
+				written = append(written, m...)
+			case 2:
+				p.conn.Wake()
+			case 3:
+				synctest.Wait()
+			case 4:
+				if s.Pick(20) == 0 {
+					closing = true
+				}
+			}
+		}
+		synctest.Wait()
+		p.conn.Close()
+		if p.conn.Send([]byte("late")) {
+			t.Error("a closing connection takes more")
+		}
+		if err := <-p.ended; err != nil {
+			t.Errorf("it ends with %v", err)
+		}
+		if got = <-received; !bytes.Equal(got, sent) {
+			t.Errorf("arrived %v, sent %v", got, sent)
+		}
+		if whole := written[:len(written)/frame*frame]; !bytes.Equal(p.taken, whole) {
+			t.Errorf("taken %v, written %v", p.taken, whole)
+		}
+	})
+}
+
+// TestCutOff guards the sender's memory, and its time, against a peer that
+// stops reading.
+func TestCutOff(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPeer()
+		defer p.Close()
+		accepted := 0
+		for range 2 * queueLimit / 1024 {
+			if p.conn.Send(make([]byte, 1024)) {
+				accepted++
+			}
+		}
+		if most := queueLimit / 1024; accepted > 2*most { // one part may be on its way out
+			t.Errorf("%d kB were queued, %d at most", accepted, 2*most)
+		}
+		if err := <-p.ended; err == nil {
+			t.Error("it ends as if all were well")
+		}
+	})
+}
+
+// TestSlowWriteEnds: a peer that reads nothing holds a write only so long.
+func TestSlowWriteEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPeer()
+		defer p.Close()
+		began := time.Now()
+		p.conn.Send([]byte("unread"))
+		if err := <-p.ended; err == nil || time.Since(began) > writeTimeout {
+			t.Errorf("it ends with %v after %v", err, time.Since(began))
+		}
+	})
+}
+
+func TestReadDeadline(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPeer()
+		defer p.Close()
+		p.conn.SetReadDeadline(time.Now().Add(time.Second))
+		p.conn.Wake() // must not put the deadline off
+		err := <-p.ended
+		if !errors.Is(err, ErrWoken) || !p.conn.Expired() {
+			t.Errorf("it ends with %v", err)
+		}
+	})
+}
+
+// TestServer sees that connections over the limit are closed, and that Empty
+// tells when a closed server's last one has ended.
+func TestServer(t *testing.T) {
+	serving := make(chan *Conn)
+	s, err := Listen("127.0.0.1:0", 1, func(c *Conn) {
+		serving <- c
+		c.Serve(func(r *bufio.Reader) error { _, err := r.ReadByte(); return err })
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	go s.Run()
+	dial := func() net.Conn {
+		nc, err := net.Dial("tcp", s.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return nc
+	}
+	first := dial()
+	defer first.Close()
+	c := <-serving
+	second := dial()
+	defer second.Close()
+	if _, err := second.Read(make([]byte, 1)); err == nil {
+		t.Error("a connection over the limit is open")
+	}
+	s.Close()
+	if nc, err := net.Dial("tcp", s.Addr().String()); err == nil {
+		nc.Close()
+		t.Error("a closed server takes connections")
+	}
+	select {
+	case <-s.Empty():
+		t.Error("empty with a connection open")
+	default:
+	}
+	s.Each((*Conn).Close)
+	<-s.Empty()
+	if c.Send([]byte("x")) {
+		t.Error("a connection that has ended takes more")
+	}
+}
