--- /dev/null
+++ b/cmd/quincerail/main_test.go
@@ -0,0 +1,272 @@
+package main_test
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"quincerail.example/quincerail/internal/standin"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "quincerail")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(dir)
+		binary = filepath.Join(dir, "quincerail")
+		if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+			fmt.Fprintf(os.Stderr, "building: %v\n%s", err, out)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// node is the built program at work among stand-ins.
+type node struct {
+	cmd       *exec.Cmd
+	work      *standin.Work
+	processor *standin.Processor
+	ledger    *standin.Ledger
+	announce  *standin.Announce
+	thrift    string // addresses
+	uwsgi     string
+	exited    chan error
+}
+
+func must[T any](t *testing.T, v T, err error) T {
+	t.Helper()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return v
+}
+
+const anyPort = "127.0.0.1:0"
+
+// writeConfig writes the example's configuration with changes.
+func writeConfig(t *testing.T, changes map[string]any) string {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("..", "..", "example", "config.json"))
+	config := make(map[string]any)
+	must(t, 0, err)
+	must(t, 0, json.Unmarshal(text, &config))
+	for key, value := range changes {
+		config[key] = value
+	}
+	out, err := json.Marshal(config)
+	path := filepath.Join(t.TempDir(), "config.json")
+	must(t, out, err)
+	must(t, 0, os.WriteFile(path, out, 0o600))
+	return path
+}
+
+var listening = regexp.MustCompile(`event=listening name=\S+ address=(\S+)`)
+
+func start(t *testing.T) *node {
+	t.Helper()
+	n := &node{work: standin.NewWork(0), exited: make(chan error, 1)}
+	var err error
+	n.processor, err = standin.NewProcessor(anyPort, n.work)
+	must(t, 0, err)
+	n.ledger, err = standin.NewLedger(anyPort)
+	must(t, 0, err)
+	n.announce, err = standin.NewAnnounce(anyPort)
+	must(t, 0, err)
+	app, err := standin.NewApp(anyPort, n.work)
+	must(t, 0, err)
+	config := writeConfig(t, map[string]any{"listen": anyPort, "processor": n.processor.Addr(),
+		"ledger": n.ledger.Addr(), "announce": n.announce.Addr()})
+	front := filepath.Join(t.TempDir(), "uwsgi.toml")
+	text := fmt.Sprintf("listen = %q\nbackend = %q\n", anyPort, app.Addr())
+	for _, class := range []string{"kampanjsida", "givarhistorik", "ny-gava"} {
+		text += fmt.Sprintf("[[route]]\npath = \"/%s\"\nclass = %q\n", class, class)
+	}
+	must(t, 0, os.WriteFile(front, []byte(text), 0o600))
+
+	n.cmd = exec.Command(binary, "-uwsgi", front)
+	n.cmd.Env = append(os.Environ(), "GW_CONFIG="+config)
+	stderr, err := n.cmd.StderrPipe()
+	must(t, 0, err)
+	must(t, 0, n.cmd.Start())
+	t.Cleanup(func() {
+		n.cmd.Process.Kill()
+		n.processor.Close()
+		n.ledger.Close()
+		n.announce.Close()
+		app.Close()
+	})
+	addresses := make(chan string, 2)
+	go func() {
+		for lines := bufio.NewScanner(stderr); lines.Scan(); {
+			if m := listening.FindStringSubmatch(lines.Text()); m != nil {
+				addresses <- m[1]
+			}
+		}
+		n.exited <- n.cmd.Wait()
+	}()
+	n.thrift, n.uwsgi = <-addresses, <-addresses
+	<-n.processor.Up()
+	return n
+}
+
+func (n *node) ask(t *testing.T, caller standin.Caller, address, class, key, body string) standin.Outcome {
+	t.Helper()
+	try, err := caller(address, class, key, body)
+	must(t, 0, err)
+	must(t, 0, try.Send())
+	o, err := try.Outcome()
+	return must(t, o, err)
+}
+
+func TestServes(t *testing.T) {
+	n := start(t)
+	for _, x := range []struct {
+		caller  standin.Caller
+		address string
+		class   string
+		body    string
+		want    standin.Outcome
+	}{
+		{standin.Thrift, n.thrift, "kampanjsida", "a page", standin.Outcome{Kind: "served", Body: "done: a page"}},
+		{standin.Thrift, n.thrift, "kampanjsida", "call ok", standin.Outcome{Kind: "served", Body: "done: call ok"}},
+		{standin.Thrift, n.thrift, "kampanjsida", "call error", standin.Outcome{Kind: "served", Body: "without"}},
+		{standin.Thrift, n.thrift, "ny-gava", "call error", standin.Outcome{Kind: "failed"}},
+		{standin.Thrift, n.thrift, "ny-gava", "call break", standin.Outcome{Kind: "failed"}},
+		{standin.UWSGI, n.uwsgi, "kampanjsida", "a page", standin.Outcome{Kind: "served", Body: "done: a page"}},
+		{standin.UWSGI, n.uwsgi, "ny-gava", "break now", standin.Outcome{Kind: "failed"}},
+	} {
+		if got := n.ask(t, x.caller, x.address, x.class, "key of "+x.body, x.body); got != x.want {
+			t.Errorf("%s %q: %v, want %v", x.class, x.body, got, x.want)
+		}
+	}
+	if runs := n.work.Runs("break now"); runs != 1 {
+		t.Errorf("keyed work was sent %d times after an ambiguous break", runs)
+	}
+}
+
+// TestAnnounceOutage sees that neither an outage nor its end touches serving,
+// and that reports come again after it.
+func TestAnnounceOutage(t *testing.T) {
+	n := start(t)
+	const report = `PUT /announce/n1 {"accepting":"true"}`
+	if got := <-n.announce.Reports; got != report {
+		t.Errorf("report %s", got)
+	}
+	address := n.announce.Addr()
+	n.announce.Close()
+	served := standin.Outcome{Kind: "served", Body: "done: page"}
+	if got := n.ask(t, standin.Thrift, n.thrift, "kampanjsida", "", "page"); got != served {
+		t.Errorf("in an outage: %v", got)
+	}
+	again, err := standin.NewAnnounce(address)
+	if err != nil {
+		t.Skipf("the port was taken meanwhile: %v", err)
+	}
+	defer again.Close()
+	if got := <-again.Reports; got != report {
+		t.Errorf("report %s", got)
+	}
+}
+
+// TestLinkBreak breaks the processor's link while work runs: its end is told
+// over the next link, once.
+func TestLinkBreak(t *testing.T) {
+	n := start(t)
+	n.work.Took = 300 * time.Millisecond
+	try, err := standin.Thrift(n.thrift, "ny-gava", "k", "gift")
+	must(t, 0, err)
+	must(t, 0, try.Send())
+	<-n.work.Begun()
+	n.processor.Break()
+	if o, err := try.Outcome(); err != nil || o.Body != "done: gift" {
+		t.Errorf("%v, %v", o, err)
+	}
+	if runs := n.work.Runs("gift"); runs != 1 {
+		t.Errorf("%d runs", runs)
+	}
+}
+
+func TestHealth(t *testing.T) {
+	n := start(t)
+	nc, err := net.Dial("tcp", n.thrift)
+	must(t, 0, err)
+	defer nc.Close()
+	nc.Write(standin.AppendCheck(standin.AppendCheck(nil, 1, false), 2, true))
+	r := bufio.NewReader(nc)
+	for seq := range int32(2) {
+		if reply, err := standin.ReadReply(r); err != nil || reply.Seq != seq+1 || !reply.Good {
+			t.Errorf("%+v, %v", reply, err)
+		}
+	}
+}
+
+// TestBadBytes sees that a broken frame ends its connection and nothing else.
+func TestBadBytes(t *testing.T) {
+	n := start(t)
+	for _, bytes := range []string{"\x7f\xff\xff\xff", "GET / HTTP/1.1\r\n\r\n", "\x00\x00\x00\x04abcd"} {
+		nc, err := net.Dial("tcp", n.thrift)
+		must(t, 0, err)
+		nc.Write([]byte(bytes))
+		nc.SetReadDeadline(time.Now().Add(10 * time.Second))
+		if n, err := nc.Read(make([]byte, 1)); n > 0 || os.IsTimeout(err) {
+			t.Errorf("%q: the connection goes on", bytes)
+		}
+		nc.Close()
+	}
+	if got := n.ask(t, standin.Thrift, n.thrift, "kampanjsida", "", "page"); got.Kind != "served" {
+		t.Errorf("afterwards: %v", got)
+	}
+}
+
+// TestTerm sends the notice to leave while work runs: it is reported, told on
+// the connection, the work is answered, and the program ends well in time.
+func TestTerm(t *testing.T) {
+	n := start(t)
+	n.work.Took = 300 * time.Millisecond
+	try, err := standin.Thrift(n.thrift, "ny-gava", "k", "gift")
+	must(t, 0, err)
+	must(t, 0, try.Send())
+	<-n.work.Begun()
+	began := time.Now()
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGTERM))
+	if o, err := try.Outcome(); err != nil || o.Body != "done: gift" {
+		t.Errorf("%v, %v", o, err)
+	}
+	for report := range n.announce.Reports {
+		if strings.Contains(report, "false") {
+			break
+		}
+	}
+	if err := <-n.exited; err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+	if took := time.Since(began); took > 3200*time.Millisecond {
+		t.Errorf("it ends after %v", took)
+	}
+}
+
+func TestBadConfig(t *testing.T) {
+	for key, value := range map[string]any{"seed": "xyz", "stop_ms": "soon", "listen": "nowhere", "settings": nil} {
+		cmd := exec.Command(binary)
+		cmd.Env = append(os.Environ(), "GW_CONFIG="+writeConfig(t, map[string]any{key: value}))
+		out, err := cmd.CombinedOutput()
+		if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), key) {
+			t.Errorf("%s: %v, output %q, want one line that names it", key, err, out)
+		}
+	}
+}
--- a/program/fronts_test.go
+++ b/program/fronts_test.go
@@ -52,8 +52,9 @@
 }
 
 // FuzzThriftConn checks a balancer's connection against a model: open with
-// calls that wait or were given up, and ended by a broken sequence. Each call
-// has one reply; one that was given up may have none.
+// calls that wait or were given up, left, and ended, by its own choice only if
+// it was left before, or by a broken sequence. Each call has one reply; one that
+// was given up may have none.
 func FuzzThriftConn(f *testing.F) {
 	fields := func(id int, class string) map[string]string {
 		return map[string]string{"verb": class, "txn": fmt.Sprintf("%016x", id), "lb": "1", "ram": "1", "standing": "0"}
@@ -75,9 +76,9 @@
 			}
 		}()
 		owed, gone, hanging := make(map[int32]bool), make(map[int32]bool), 0
-		seq := int32(0)
+		seq, left, over := int32(0), false, false
 		send := func(m []byte) { far.Write(m); synctest.Wait() }
-		for s.More() && seq < 60 {
+		for s.More() && seq < 60 && !over {
 			seq++
 			switch s.Pick(6) {
 			case 0, 1:
@@ -101,12 +102,23 @@
 				time.Sleep(time.Duration(s.Pick(30)) * 100 * time.Millisecond)
 				front.leave()
 				synctest.Wait()
+				select {
+				case <-ended:
+					over = true
+					if !left {
+						t.Error("it ended before it was left")
+					}
+				default:
+					left = true
+				}
 			}
 		}
-		time.Sleep(5 * time.Second) // beyond the class's deadline
-		owed[seq+1] = true
-		send(standin.AppendCheck(nil, seq+1, false))
-		send(standin.AppendCheck(nil, seq+1, false)) // the same number again ends it
+		if !over {
+			time.Sleep(5 * time.Second) // beyond the class's deadline
+			owed[seq+1] = true
+			send(standin.AppendCheck(nil, seq+1, false))
+			send(standin.AppendCheck(nil, seq+1, false)) // the same number again ends it
+		}
 		<-ended
 		<-read
 		delete(replies, 0) // leaving
--- a/program/processor.go
+++ b/program/processor.go
@@ -21,7 +21,7 @@
 	id    string
 	kind  commandKind
 	after uint64 // number of the usage question that was sent before it
-	sent  bool // on the present link
+	sent  bool   // on the present link
 }
 
 type commandKind int
