Answer what the module lets pass its time; add an example that a newcomer can try

Seen: trying the example, a second process of callers used ids again, and two requests were never answered. Cause: Instance.Request takes no notice of an id it still knows (policy/policy.go, the check on in.requests), and nothing else watched the due time. The core now answers what is overdue (routing/book.go), and the stand-in callers draw ids at random. Ruled out: the link and the fronts, which passed the request on.

--- /dev/null
+++ b/example/ask/main.go
@@ -0,0 +1,45 @@
+// Command ask sends one request to an app server, over Thrift or uwsgi, and
+// prints what came of it.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"time"
+
+	"quincerail.example/quincerail/internal/standin"
+)
+
+func main() {
+	uwsgi := flag.Bool("uwsgi", false, "ask over uwsgi, not Thrift")
+	class := flag.String("class", "kampanjsida", "class of the request")
+	key := flag.String("key", "", "key of a keyed request")
+	body := flag.String("body", "hej", "body; its first word may be fail, hang or call")
+	flag.Parse()
+	caller, address := standin.Caller(standin.Thrift), "127.0.0.1:9090"
+	if *uwsgi {
+		caller, address = standin.UWSGI, "127.0.0.1:3031"
+	}
+	if err := run(caller, address, *class, *key, *body); err != nil {
+		fmt.Fprintln(os.Stderr, "ask:", err)
+		os.Exit(1)
+	}
+}
+
+func run(caller standin.Caller, address, class, key, body string) error {
+	began := time.Now()
+	try, err := caller(address, class, key, body)
+	if err != nil {
+		return err
+	}
+	if err := try.Send(); err != nil {
+		return err
+	}
+	o, err := try.Outcome()
+	if err != nil {
+		return err
+	}
+	fmt.Printf("%s %q in %v\n", o.Kind, o.Body, time.Since(began).Round(time.Millisecond))
+	return nil
+}
--- /dev/null
+++ b/example/toy/main.go
@@ -0,0 +1,51 @@
+// Command toy plays all the parties that an app server needs, so that one can
+// be tried on a single machine: processor, ledger, announce service and a uwsgi
+// application server. It prints the reports that reach its announce service.
+package main
+
+import (
+	"fmt"
+	"os"
+	"time"
+
+	"quincerail.example/quincerail/internal/standin"
+)
+
+func main() {
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "toy:", err)
+		os.Exit(1)
+	}
+}
+
+func run() error {
+	work := standin.NewWork(100 * time.Millisecond)
+	if _, err := standin.NewProcessor("127.0.0.1:9300", work); err != nil {
+		return err
+	}
+	if _, err := standin.NewLedger("127.0.0.1:7700"); err != nil {
+		return err
+	}
+	if _, err := standin.NewApp("127.0.0.1:3032", work); err != nil {
+		return err
+	}
+	announce, err := standin.NewAnnounce("127.0.0.1:8500")
+	if err != nil {
+		return err
+	}
+	fmt.Println("processor 127.0.0.1:9300, ledger 127.0.0.1:7700, announce 127.0.0.1:8500, uwsgi app 127.0.0.1:3032")
+	last := ""
+	for {
+		select {
+		case body := <-work.Begun():
+			fmt.Println("begun:", body)
+		case body := <-work.Stopped():
+			fmt.Println("stopped:", body)
+		case report := <-announce.Reports:
+			if report != last {
+				fmt.Println("reported:", report)
+			}
+			last = report
+		}
+	}
+}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -2,14 +2,15 @@
 
 import (
 	"bufio"
+	"crypto/rand"
 	"encoding/binary"
+	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
 	"net"
 	"strconv"
 	"strings"
-	"sync/atomic"
 	"time"
 
 	"quincerail.example/quincerail/protocol/thrift"
@@ -62,9 +63,6 @@
 // GiveUp tells, in the way of the protocol, that nobody waits any more.
 func (t *Try) GiveUp() { t.gone(t.conn) }
 
-// ids makes the tries' ids; they only have to differ.
-var ids atomic.Uint64
-
 func try(address string, request []byte) (*Try, error) {
 	nc, err := net.Dial("tcp", address)
 	if err != nil {
@@ -134,8 +132,12 @@
 	return t, nil
 }
 
-// NewID gives an id for a try.
-func NewID() string { return fmt.Sprintf("%016x", ids.Add(1)) }
+// NewID gives an id for a try. Ids never return, over all callers.
+func NewID() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
 
 // door is the present time as the field of that name has it.
 func door() string { return strconv.FormatInt(time.Now().UnixMilli(), 10) }
--- a/routing/book.go
+++ b/routing/book.go
@@ -13,6 +13,20 @@
 	c.release(a)
 }
 
+// answerOverdue answers what the module has let pass its time, so that rule 1
+// holds whatever it does. It hears nothing of a request whose id it still knows
+// from an earlier one, for example: a caller that uses an id again would wait
+// for ever.
+func (c *Core) answerOverdue() {
+	late := c.opt.Settings.AnswerSlack * 3 / 4 // the module's own guard comes at half of it
+	for id, a := range c.attempts {
+		if !a.answered && (c.now > a.due+late || c.draining && c.now > c.stopAt) {
+			c.book(a, c.failure(a))
+			c.module.Gone(c.now, id)
+		}
+	}
+}
+
 // release drops an attempt of which nothing more is to come. What still runs
 // is remembered until its end is told.
 func (c *Core) release(a *attempt) {
--- a/routing/core.go
+++ b/routing/core.go
@@ -157,6 +157,7 @@
 func (c *Core) wake(after time.Duration, token int64) {
 	time.AfterFunc(after, func() {
 		c.post(func() {
+			c.answerOverdue()
 			if c.opt.Machine == nil {
 				c.module.Tick(c.now, token, c.gauges)
 				return
--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -221,6 +221,19 @@
 	})
 }
 
+// TestIDUsedAgain guards rule 1 against a caller that uses an id again, of which
+// the module takes no notice.
+func TestIDUsedAgain(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.submit(t, "a", "gift", "k")
+		p.complete("a", Good, "thanks")
+		p.answers = make(map[string][]Outcome)
+		p.submit(t, "a", "read", "")
+		p.sleep(testDeadline + testSlack)
+		p.wantAnswer(t, "a", TimedOut, "")
+	})
+}
+
 // TestUnbornLeavesKeyFree: a run that is proven not to have begun is no bar to
 // the next try.
 func TestUnbornLeavesKeyFree(t *testing.T) {
