--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -183,15 +183,22 @@
 	}
 }
 
-// TestLinkBreak breaks the processor's link while work runs: its end is told
-// over the next link, once.
-func TestLinkBreak(t *testing.T) {
+// startRun starts a node that is at work on a gift.
+func startRun(t *testing.T) (*node, *standin.Try) {
+	t.Helper()
 	n := start(t)
 	n.work.Took = 300 * time.Millisecond
 	try, err := standin.Thrift(n.thrift, "ny-gava", "k", "gift")
 	must(t, 0, err)
 	must(t, 0, try.Send())
 	<-n.work.Begun()
+	return n, try
+}
+
+// TestLinkBreak breaks the processor's link while work runs: its end is told
+// over the next link, once.
+func TestLinkBreak(t *testing.T) {
+	n, try := startRun(t)
 	n.processor.Break()
 	if o, err := try.Outcome(); err != nil || o.Body != "done: gift" {
 		t.Errorf("%v, %v", o, err)
@@ -236,12 +243,7 @@
 // TestTerm sends the notice to leave while work runs: it is reported, told on
 // the connection, the work is answered, and the program ends well in time.
 func TestTerm(t *testing.T) {
-	n := start(t)
-	n.work.Took = 300 * time.Millisecond
-	try, err := standin.Thrift(n.thrift, "ny-gava", "k", "gift")
-	must(t, 0, err)
-	must(t, 0, try.Send())
-	<-n.work.Begun()
+	n, try := startRun(t)
 	began := time.Now()
 	must(t, 0, n.cmd.Process.Signal(syscall.SIGTERM))
 	if o, err := try.Outcome(); err != nil || o.Body != "done: gift" {
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -10,8 +10,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"fmt"
 	"io"
@@ -121,7 +119,7 @@
 			return
 		}
 		answer := make(sink, 1)
-		id := newID()
+		id := routing.NewID()
 		err = m.core.Submit(routing.Request{ID: id, Class: route.Class, Key: r.Header.Get(route.KeyHeader),
 			Door: time.Now(), HeldKB: baseKB + float64(len(body))/1024, Payload: routing.Payload{Body: body},
 			Backend: newRun(m.core, next, r), Sink: answer})
@@ -172,12 +170,6 @@
 	http.Error(w, http.StatusText(http.StatusServiceUnavailable), http.StatusServiceUnavailable)
 }
 
-func newID() string {
-	var b [8]byte
-	rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
 // run is the backend of one request: the handler behind the middleware.
 type run struct {
 	core    *routing.Core
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -2,8 +2,6 @@
 
 import (
 	"bufio"
-	"crypto/rand"
-	"encoding/hex"
 	"errors"
 	"io"
 	"net/http"
@@ -131,7 +129,7 @@
 		payload.Fields = append(payload.Fields, routing.Field(v))
 		size += len(v.Name) + len(v.Value)
 	}
-	id := newID()
+	id := routing.NewID()
 	u.mu.Lock()
 	u.id = id
 	u.mu.Unlock()
@@ -143,13 +141,6 @@
 	}
 }
 
-// newID makes an id of the form that all requests have.
-func newID() string {
-	var b [8]byte
-	rand.Read(b[:])
-	return hex.EncodeToString(b[:])
-}
-
 // Answer implements routing.Sink.
 func (u *uwsgiConn) Answer(_ string, o routing.Outcome) {
 	switch o.Kind {
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"crypto/rand"
+	"encoding/hex"
 	"fmt"
 	"time"
 
@@ -21,6 +23,13 @@
 	entry    *entry // of a keyed request
 }
 
+// NewID makes an id for a request that has none from its caller.
+func NewID() string {
+	var b [8]byte
+	rand.Read(b[:])
+	return hex.EncodeToString(b[:])
+}
+
 // Take in: a request comes from a front.
 
 // Submit hands in a request. An error means that it was not taken, and that
