Guard a late notice to leave, late replies of the ledger, and broken sequences

A number left out now ends the connection too (program/thrift.go, take). A run's next call could share a connection with the one that was given up, as the choice went round over all runs' calls (program/ledger.go, Call); it now goes by the call's number. A crowded core may see SIGTERM late, which made the grace longer than the sender's (routing/core.go, New). An uwsgi request on its way when the grace ended could be closed unread (program/uwsgi.go, refuseLate). A refusal over Thrift said nothing of when to come back where the module's advice was zero.

--- a/program/ledger.go
+++ b/program/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"hash/fnv"
 	"net"
 	"sync"
 	"time"
@@ -19,8 +20,8 @@
 )
 
 // ledgerPool makes the calls, over connections that each carry many. The calls
-// of one run go over one after the other of them, so that the late reply to a
-// call that was given up can't be taken for the next one's.
+// of one run go over one after the other of them, by their numbers, so that the
+// late reply to a call that was given up can't be taken for the next one's.
 type ledgerPool struct {
 	core    *routing.Core
 	address string
@@ -28,7 +29,6 @@
 	mu    sync.Mutex
 	slots [ledgerConns]*ledgerConn
 	where map[string]*ledgerConn // of the call that is out
-	next  int
 }
 
 // ledgerConn is one connection, which may still be dialled.
@@ -52,11 +52,9 @@
 func (l *ledgerPool) Call(id string, number int, wait time.Duration, body []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.next++
-	slot := &l.slots[(l.next)%ledgerConns]
-	if previous := l.where[id]; previous != nil && previous == *slot {
-		slot = &l.slots[(l.next+1)%ledgerConns]
-	}
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	slot := &l.slots[(int(h.Sum32()%ledgerConns)+number)%ledgerConns]
 	k := *slot
 	if k != nil && k.conn != nil && len(k.calls) == 0 && time.Since(k.conn.IdleSince()) > ledgerIdle {
 		k.conn.Close()
--- a/program/links_test.go
+++ b/program/links_test.go
@@ -257,6 +257,50 @@
 	}
 }
 
+// TestLedgerCallsTakeTurns guards against a late reply being taken for that to
+// the next call of the same run: the next one is on another connection, whatever
+// other runs have called meanwhile.
+func TestLedgerCallsTakeTurns(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	posts := make(chan string, 100) // each with the connection that it came over
+	go func() {
+		for nc, err := l.Accept(); err == nil; nc, err = l.Accept() {
+			go func() {
+				defer nc.Close()
+				r := bufio.NewReader(nc)
+				for {
+					words, _, err := lines.Read(r, func(w []string) bool { return w[0] == "post" })
+					if err != nil {
+						return
+					}
+					if words[0] == "post" {
+						posts <- words[1] + " " + nc.RemoteAddr().String()
+					}
+				}
+			}()
+		}
+	}()
+	pool := newLedgerPool(l.Addr().String())
+	last := ""
+	for number := 1; number <= 8; number++ {
+		for other := range number {
+			pool.Call(fmt.Sprint("other", number, other), 1, time.Second, nil)
+			<-posts
+		}
+		pool.Call("r", number, time.Second, nil)
+		post := <-posts
+		if post == last {
+			t.Errorf("call %d comes over the same connection as the one before", number)
+		}
+		last = post
+		pool.Abandon("r")
+	}
+}
+
 // TestLedgerRefused sees that a refused connection counts as a call that never
 // ran: the call is made again, and served once the ledger is up.
 func TestLedgerRefused(t *testing.T) {
--- a/program/suite_test.go
+++ b/program/suite_test.go
@@ -237,6 +237,7 @@
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); {
 		try, err := standin.Thrift(w.Addr().String(), "kampanjsida", "", "x")
 		if err != nil {
+			time.Sleep(2 * time.Millisecond) // door is in whole milliseconds
 			return
 		}
 		try.GiveUp()
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -25,10 +25,11 @@
 	core *routing.Core
 	conn *transport.Conn
 
+	last int32 // sequence number; of the connection's goroutine alone
+
 	mu      sync.Mutex
 	open    map[string]int32 // sequence number by request id
 	ids     map[int32]string
-	last    int32
 	leaving time.Time // when that was said; zero before
 }
 
@@ -60,13 +61,12 @@
 }
 
 func (t *thriftConn) take(m *thrift.Message) error {
-	t.mu.Lock()
-	if m.Seq <= t.last && m.Type == thrift.Call {
-		t.mu.Unlock()
-		return fmt.Errorf("%w: sequence number %d after %d", thrift.ErrBroken, m.Seq, t.last)
+	if m.Type == thrift.Call { // oneway messages have no numbers of their own
+		if m.Seq != t.last+1 {
+			return fmt.Errorf("%w: sequence number %d after %d", thrift.ErrBroken, m.Seq, t.last)
+		}
+		t.last = m.Seq
 	}
-	t.last = max(t.last, m.Seq)
-	t.mu.Unlock()
 	switch {
 	case m.Name == "execute" && m.Type == thrift.Call:
 		if err := t.execute(m); err != nil {
@@ -150,10 +150,8 @@
 	case routing.Served:
 		t.conn.Send(thrift.AppendAnswer(nil, "execute", seq, thrift.Answer{Body: o.Result.Body, Good: true}))
 	case routing.Refused:
-		fields := make(map[string]string)
-		if ms := o.Later.Milliseconds(); ms > 0 {
-			fields["later"] = strconv.FormatInt(ms, 10)
-		}
+		// A refusal always says when to come back, be it at once.
+		fields := map[string]string{"later": strconv.FormatInt(max(1, o.Later.Milliseconds()), 10)}
 		if o.GiveUp {
 			fields["giveup"] = "1"
 		}
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"errors"
-	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -18,8 +17,9 @@
 )
 
 const (
-	uwsgiReadWithin = 10 * time.Second // for a request to come whole
-	uwsgiBaseKB     = 16               // of memory that a request is taken to need beside its size
+	uwsgiReadWithin = 10 * time.Second       // for a request to come whole
+	uwsgiLateWithin = 100 * time.Millisecond // likewise, when the grace of a drain is over
+	uwsgiBaseKB     = 16                     // of memory that a request is taken to need beside its size
 )
 
 // uwsgiFront is the front for the uwsgi protocol: one request a connection.
@@ -89,14 +89,12 @@
 		u.respond(http.StatusBadRequest)
 	case errors.Is(err, uwsgi.ErrTooLarge):
 		u.respond(http.StatusRequestEntityTooLarge)
-	case errors.Is(err, os.ErrDeadlineExceeded) && late && !u.decoder.Started():
-		return io.EOF // nothing was read of it, so nothing is owed
-	case errors.Is(err, os.ErrDeadlineExceeded) && late:
+	case !errors.Is(err, os.ErrDeadlineExceeded) || !u.conn.Expired() || !u.decoder.Started():
+		return err // nothing has come in time, so nothing is owed; or only a wake-up has
+	case late:
 		u.refuse(0)
-	case errors.Is(err, os.ErrDeadlineExceeded) && u.conn.Expired() && u.decoder.Started():
-		u.respond(http.StatusRequestTimeout)
 	default:
-		return err
+		u.respond(http.StatusRequestTimeout)
 	}
 	return nil
 }
@@ -107,7 +105,11 @@
 	if path == "" {
 		path, _, _ = strings.Cut(req.Get("REQUEST_URI"), "?")
 	}
+	id := routing.NewID()
+	u.mu.Lock()
+	u.id = id
 	u.conn.SetReadDeadline(time.Time{}) // from here on the core answers in time
+	u.mu.Unlock()
 	if f.config.HealthPath != "" && path == f.config.HealthPath {
 		f.core.Check(false, func(good bool) {
 			if good {
@@ -129,10 +131,6 @@
 		payload.Fields = append(payload.Fields, routing.Field(v))
 		size += len(v.Name) + len(v.Value)
 	}
-	id := routing.NewID()
-	u.mu.Lock()
-	u.id = id
-	u.mu.Unlock()
 	err := f.core.Submit(routing.Request{ID: id, Class: route.Class, Key: req.Get(f.config.KeyVariable),
 		Door: time.Now(), Caller: -1, HeldKB: uwsgiBaseKB + float64(size)/1024, Payload: payload,
 		Backend: f.backend, Sink: u})
@@ -184,12 +182,16 @@
 // leave has nothing to say in this protocol: a connection ends with its answer.
 func (f *uwsgiFront) leave() {}
 
-// refuseLate turns away what is still unread when the grace of a drain is over.
+// refuseLate has what is still unread when the grace of a drain is over turned
+// away: at once by the module, if all of it is on its way, else here.
 func (f *uwsgiFront) refuseLate() {
 	f.conns.each(func(u *uwsgiConn) {
 		u.mu.Lock()
-		u.late = true
-		u.mu.Unlock()
-		u.conn.Wake()
+		defer u.mu.Unlock()
+		if u.id == "" && !u.closing {
+			u.late = true
+			u.conn.SetReadDeadline(time.Now().Add(uwsgiLateWithin))
+			u.conn.Wake()
+		}
 	})
 }
--- a/program/uwsgibackend.go
+++ b/program/uwsgibackend.go
@@ -49,7 +49,11 @@
 // run does one attempt. A connection that was refused proves that nothing ran.
 func (b *uwsgiBackend) run(ctx context.Context, r routing.Run) (routing.End, routing.Payload) {
 	var vars []uwsgi.Var
+	method := ""
 	for _, f := range r.Payload.Fields {
+		if f.Name == "REQUEST_METHOD" {
+			method = f.Value
+		}
 		vars = append(vars, uwsgi.Var(f))
 	}
 	packet, err := uwsgi.AppendRequest(nil, vars, r.Payload.Body)
@@ -66,7 +70,7 @@
 	if _, err := nc.Write(packet); err != nil {
 		return routing.Bad, routing.Payload{}
 	}
-	resp, err := uwsgi.ReadResponse(bufio.NewReader(nc))
+	resp, err := uwsgi.ReadResponse(bufio.NewReader(nc), method)
 	if err != nil {
 		return routing.Bad, routing.Payload{}
 	}
--- a/protocol/uwsgi/uwsgi.go
+++ b/protocol/uwsgi/uwsgi.go
@@ -58,21 +58,23 @@
 type Decoder struct {
 	MaxBody int // a larger body is ErrTooLarge
 
-	stage int
-	need  int
-	buf   []byte
-	req   Request
+	started bool
+	stage   int
+	need    int
+	buf     []byte
+	req     Request
 }
 
 // Started tells whether a part of the request has come.
-func (d *Decoder) Started() bool { return d.stage > 0 }
+func (d *Decoder) Started() bool { return d.started }
 
 // Read reads on until the request is whole.
 func (d *Decoder) Read(r *bufio.Reader) (*Request, error) {
 	if d.stage == 0 {
 		head, err := r.Peek(4)
+		d.started = len(head) > 0
 		if err != nil {
-			return nil, d.broken(err, len(head) > 0)
+			return nil, d.broken(err, d.started)
 		}
 		d.req.Modifier1, d.req.Modifier2 = head[0], head[3]
 		d.need = int(binary.LittleEndian.Uint16(head[1:]))
@@ -218,9 +220,9 @@
 	return append(to, r.Body...)
 }
 
-// ReadResponse reads a response whole: as long as it says, or to the
-// connection's end where it does not.
-func ReadResponse(r *bufio.Reader) (*Response, error) {
+// ReadResponse reads the response to a request of a method whole: as long as it
+// says, or to the connection's end where it does not.
+func ReadResponse(r *bufio.Reader, method string) (*Response, error) {
 	line, err := readLine(r)
 	if err != nil {
 		return nil, err
@@ -262,7 +264,7 @@
 	if length > MaxResult {
 		return nil, fmt.Errorf("%w: a result of %d bytes, %d at most", ErrTooLarge, length, MaxResult)
 	}
-	if status == http.StatusNoContent || status == http.StatusNotModified {
+	if method == http.MethodHead || status == http.StatusNoContent || status == http.StatusNotModified {
 		return resp, nil
 	}
 	most := int64(length)
--- a/routing/core.go
+++ b/routing/core.go
@@ -14,6 +14,7 @@
 	mailbox      = 1024                  // events that wait; more hold up the connections that bring them
 	gaugesWithin = 20 * time.Millisecond // a tick does not wait longer for its gauges
 	trialWithin  = time.Second           // nor a deep health check for its work
+	noticeLate   = 30 * time.Millisecond // a crowded core may see the notice to leave so much later
 	stopMargin   = 250 * time.Millisecond
 )
 
@@ -59,6 +60,9 @@
 	c := &Core{opt: opt, classes: make(map[string]int), events: make(chan func(), mailbox),
 		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true,
 		gauges: policy.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}}
+	// What comes in the last moments of the grace, as it is seen here, may have
+	// come after it as the sender of the notice sees it.
+	c.opt.Settings.DrainGrace = max(0, opt.Settings.DrainGrace-noticeLate)
 	if len(opt.Classes) != len(opt.Settings.Classes) {
 		return nil, fmt.Errorf("classes: %d names for %d", len(opt.Classes), len(opt.Settings.Classes))
 	}
@@ -68,7 +72,7 @@
 		}
 		c.classes[name] = i
 	}
-	if _, err := policy.New(opt.Settings, opt.Seed, host{c}); err != nil {
+	if _, err := policy.New(c.opt.Settings, opt.Seed, host{c}); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
 	return c, nil
--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -234,6 +234,22 @@
 	})
 }
 
+// TestNoticeSeenLate guards rule 3 when the notice to leave was seen late, so
+// that the grace seems to last longer than it does.
+func TestNoticeSeenLate(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.Drain(time.Now().Add(10 * time.Second))
+		p.sleep(testGrace - 100*time.Millisecond)
+		p.submit(t, "a", "read", "")
+		p.sleep(90 * time.Millisecond)
+		p.submit(t, "b", "read", "")
+		p.wantAnswer(t, "b", Refused, "")
+		if p.runs["a"] != 1 || p.runs["b"] != 0 || p.present[len(p.present)-1] {
+			t.Errorf("runs %v, present %v", p.runs, p.present)
+		}
+	})
+}
+
 // TestUnbornLeavesKeyFree: a run that is proven not to have begun is no bar to
 // the next try.
 func TestUnbornLeavesKeyFree(t *testing.T) {
