--- a/program/config_test.go
+++ b/program/config_test.go
@@ -3,8 +3,12 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
+
+	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/policy"
 )
 
 func TestConfigFaults(t *testing.T) {
@@ -68,7 +72,49 @@
 	}
 }
 
-// TestUWSGIRoutesFromDocument takes routes from a service's description.
+// TestDeployDescriptions sees that the service's descriptions and the front's
+// file lead to the same classes, and say of these what the platform's settings do.
+func TestDeployDescriptions(t *testing.T) {
+	text, err := os.ReadFile(filepath.Join("..", "example", "config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	config, err := ParseConfig(string(text))
+	if err != nil {
+		t.Fatal(err)
+	}
+	front, err := LoadUWSGI(filepath.Join("..", "deploy", "uwsgi.toml"), config.Classes)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"openapi.json", "asyncapi.json"} {
+		text, err := os.ReadFile(filepath.Join("..", "deploy", name))
+		if err != nil {
+			t.Fatal(err)
+		}
+		doc, err := describe.Load(text)
+		if err != nil {
+			t.Fatalf("%s: %v", name, err)
+		}
+		for _, r := range doc.Routes {
+			if got, ok := front.routes().Match(r.Method, r.Path); !ok || got.Class != r.Class || got.KeyHeader != variable(r.KeyHeader) {
+				t.Errorf("%s: %+v, but uwsgi.toml has %+v", name, r, got)
+			}
+		}
+		for _, c := range doc.Classes {
+			want := config.Settings.Classes[slices.Index(config.Classes, c.Name)]
+			want.Calls, want.SkipWorth = false, 0 // of no concern outside the platform
+			if want.Effect != policy.Keyed {
+				want.Window = 0
+			}
+			if c.Class != want {
+				t.Errorf("%s: class %+v, want %+v", name, c, want)
+			}
+		}
+	}
+}
+
+// TestUWSGIRoutesFromDocument takes routes and their keys from a description.
 func TestUWSGIRoutesFromDocument(t *testing.T) {
 	doc, err := os.ReadFile(filepath.Join("..", "describe", "testdata", "openapi.json"))
 	if err != nil {
@@ -87,7 +133,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if r, ok := c.routes().Match("POST", "/gavor"); !ok || r.Class != "ny-gava" {
+	if r, ok := c.routes().Match("POST", "/gavor"); !ok || r.Class != "ny-gava" || r.KeyHeader != "HTTP_X_GAVA" {
 		t.Errorf("POST /gavor: %+v, %t", r, ok)
 	}
 }
--- a/program/fronts_test.go
+++ b/program/fronts_test.go
@@ -139,7 +139,7 @@
 
 func uwsgiTestConfig() *UWSGIConfig {
 	return &UWSGIConfig{KeyVariable: "HTTP_IDEMPOTENCY_KEY", HealthPath: "/health", MaxBody: 64,
-		Routes: []UWSGIRoute{{"POST", "/gavor", "ny-gava"}, {"", "/k/{id}", "kampanjsida"}}}
+		Routes: []UWSGIRoute{{Method: "POST", Path: "/gavor", Class: "ny-gava"}, {Path: "/k/{id}", Class: "kampanjsida"}}}
 }
 
 // FuzzUWSGIConn checks a uwsgi connection against a model: nothing read, half
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -131,7 +131,7 @@
 		payload.Fields = append(payload.Fields, routing.Field(v))
 		size += len(v.Name) + len(v.Value)
 	}
-	err := f.core.Submit(routing.Request{ID: id, Class: route.Class, Key: req.Get(f.config.KeyVariable),
+	err := f.core.Submit(routing.Request{ID: id, Class: route.Class, Key: req.Get(route.KeyHeader),
 		Door: time.Now(), Caller: -1, HeldKB: uwsgiBaseKB + float64(size)/1024, Payload: payload,
 		Backend: f.backend, Sink: u})
 	if err != nil { // a keyed class without its key
--- a/program/uwsgiconfig.go
+++ b/program/uwsgiconfig.go
@@ -18,7 +18,7 @@
 type UWSGIConfig struct {
 	Listen      string       `toml:"listen"`
 	Backend     string       `toml:"backend"`      // where the requests of this front run
-	KeyVariable string       `toml:"key_variable"` // holds the key of a keyed request
+	KeyVariable string       `toml:"key_variable"` // holds the key of a keyed request, where its route names none
 	HealthPath  string       `toml:"health_path"`  // answered by the front itself; empty for none
 	MaxBody     int          `toml:"max_body"`     // bytes
 	Describe    string       `toml:"describe"`     // an OpenAPI or AsyncAPI document with further routes
@@ -27,9 +27,10 @@
 
 // UWSGIRoute leads requests to a class.
 type UWSGIRoute struct {
-	Method string `toml:"method"` // empty for every method
-	Path   string `toml:"path"`   // with {name} for one segment
-	Class  string `toml:"class"`
+	Method      string `toml:"method"` // empty for every method
+	Path        string `toml:"path"`   // with {name} for one segment
+	Class       string `toml:"class"`
+	KeyVariable string `toml:"key_variable"` // empty for that of all routes
 }
 
 const (
@@ -67,7 +68,7 @@
 			return nil, fmt.Errorf("describe: %w", err)
 		}
 		for _, r := range doc.Routes {
-			c.Routes = append(c.Routes, UWSGIRoute{r.Method, r.Path, r.Class})
+			c.Routes = append(c.Routes, UWSGIRoute{r.Method, r.Path, r.Class, variable(r.KeyHeader)})
 		}
 	}
 	if len(c.Routes) == 0 {
@@ -84,10 +85,17 @@
 	return c, nil
 }
 
+// routes gives the routes, each with the variable that holds its key.
 func (c *UWSGIConfig) routes() describe.Routes {
 	var routes describe.Routes
 	for _, r := range c.Routes {
-		routes = append(routes, describe.Route{Method: r.Method, Path: r.Path, Class: r.Class})
+		routes = append(routes, describe.Route{Method: r.Method, Path: r.Path, Class: r.Class,
+			KeyHeader: cmp.Or(r.KeyVariable, c.KeyVariable)})
 	}
 	return routes
 }
+
+// variable is the name under which web servers pass a header on.
+func variable(header string) string {
+	return "HTTP_" + strings.ToUpper(strings.ReplaceAll(header, "-", "_"))
+}
--- a/transport/conn_test.go
+++ b/transport/conn_test.go
@@ -176,7 +176,7 @@
 		t.Error("empty with a connection open")
 	default:
 	}
-	s.Each((*Conn).Close)
+	c.Close()
 	<-s.Empty()
 	if c.Send([]byte("x")) {
 		t.Error("a connection that has ended takes more")
--- a/transport/server.go
+++ b/transport/server.go
@@ -8,14 +8,14 @@
 	"time"
 )
 
-// Server accepts connections up to a limit and keeps track of them.
+// Server accepts connections up to a limit and counts those that are open.
 type Server struct {
 	listener net.Listener
 	limit    int
 	serve    func(*Conn)
 
 	mu    sync.Mutex
-	conns map[*Conn]struct{}
+	open  int
 	empty chan struct{} // closed when no connection is open after Close
 	shut  bool
 }
@@ -27,8 +27,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &Server{listener: l, limit: limit, serve: serve,
-		conns: make(map[*Conn]struct{}), empty: make(chan struct{})}, nil
+	return &Server{listener: l, limit: limit, serve: serve, empty: make(chan struct{})}, nil
 }
 
 // Addr is the address that is listened on.
@@ -45,33 +44,33 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		c := NewConn(nc)
-		s.mu.Lock()
-		full := len(s.conns) >= s.limit
-		if !full {
-			s.conns[c] = struct{}{}
-		}
-		s.mu.Unlock()
-		if full {
+		if !s.count(1) {
 			nc.Close()
 			continue
 		}
 		go func() {
-			s.serve(c)
-			s.remove(c)
+			s.serve(NewConn(nc))
+			s.count(-1)
 		}()
 	}
 }
 
-func (s *Server) remove(c *Conn) {
+// count takes in that a connection opens or ends. It reports false for one over
+// the limit.
+func (s *Server) count(change int) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	delete(s.conns, c)
+	if s.open+change > s.limit {
+		return false
+	}
+	s.open += change
 	s.checkEmpty()
+	return true
 }
 
+// checkEmpty closes empty when the time has come. The lock is held.
 func (s *Server) checkEmpty() {
-	if s.shut && len(s.conns) == 0 {
+	if s.shut && s.open == 0 {
 		select {
 		case <-s.empty:
 		default:
@@ -80,19 +79,6 @@
 	}
 }
 
-// Each calls f for every open connection.
-func (s *Server) Each(f func(*Conn)) {
-	s.mu.Lock()
-	open := make([]*Conn, 0, len(s.conns))
-	for c := range s.conns {
-		open = append(open, c)
-	}
-	s.mu.Unlock()
-	for _, c := range open {
-		f(c)
-	}
-}
-
 // Close stops accepting. Open connections go on.
 func (s *Server) Close() {
 	s.listener.Close()
