--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -28,7 +28,7 @@
 		}
 		defer os.RemoveAll(dir)
 		binary = filepath.Join(dir, "quincerail")
-		if out, err := exec.Command("go", "build", "-o", binary, ".").CombinedOutput(); err != nil {
+		if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", binary, ".").CombinedOutput(); err != nil {
 			fmt.Fprintf(os.Stderr, "building: %v\n%s", err, out)
 			return 1
 		}
