End a processor link that says hi out of turn, and fail results too large for Thrift

Seen in review: a second hi met a link without a greeting and would have ended the program (program/processor.go, take); a result of up to 256 KiB that a uwsgi run left could be sent to a balancer, which takes 4 KiB (program/thrift.go, Answer).

--- a/program/fronts_test.go
+++ b/program/fronts_test.go
@@ -255,6 +255,21 @@
 	})
 }
 
+// TestThriftLargeResult: a result that the platform's protocol does not allow,
+// as a run for the other front may have left it, fails its repeat over Thrift.
+func TestThriftLargeResult(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		near, far := net.Pipe()
+		c := &thriftConn{conn: transport.NewConn(near), open: map[string]int32{"a": 1}, ids: map[int32]string{1: "a"}}
+		c.Answer("a", routing.Outcome{Kind: routing.Served, Result: routing.Payload{Body: make([]byte, thrift.MaxResult+1)}})
+		go c.conn.Serve(func(r *bufio.Reader) error { _, err := r.ReadByte(); return err })
+		if reply, err := standin.ReadReply(bufio.NewReader(far)); err != nil || reply.Which != 2 {
+			t.Errorf("%+v, %v, want Fault", reply, err)
+		}
+		far.Close()
+	})
+}
+
 // TestThriftFaults sees that an intact call with wrong contents gets an
 // application exception and the connection goes on, and that too many open
 // calls are not taken.
--- a/program/links_test.go
+++ b/program/links_test.go
@@ -193,6 +193,22 @@
 	})
 }
 
+// TestProcessorOutOfTurn sees that bytes which are no protocol end the link and
+// not the program.
+func TestProcessorOutOfTurn(t *testing.T) {
+	for _, bytes := range []string{"hi old 5\r\n", "used 1 0\r\nhi new 5\r\n", "sing\r\n", "complete 1 a good 1 99999999\r\n"} {
+		synctest.Test(t, func(t *testing.T) {
+			link := newProcessorLink(nil)
+			link.core = newCore(t, routing.Options{Backend: link, Machine: link})
+			e := &engine{t: t, link: link}
+			e.open()
+			go e.far.Write([]byte(bytes))
+			<-e.done // the link is closed
+			link.lost()
+		})
+	}
+}
+
 // asking is a backend whose runs stand at a call.
 type asking struct {
 	core    *routing.Core
--- a/program/processor.go
+++ b/program/processor.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"log"
 	"slices"
 	"strconv"
@@ -10,6 +11,7 @@
 	"time"
 
 	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/protocol/lines"
 	"quincerail.example/quincerail/protocol/processor"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/transport"
@@ -47,7 +49,7 @@
 	pending  []command
 	usages   map[uint64]func(policy.Gauges)
 	trials   map[string]func(bool)
-	marker   uint64 // the question whose answer shows that all missed notices are in
+	marker   uint64 // the question whose answer shows that all missed notices are in; 0 for none
 	greeting *transport.Conn
 }
 
@@ -68,7 +70,7 @@
 // lost takes in that the link is broken. Trials on it have no result.
 func (p *processorLink) lost() {
 	p.mu.Lock()
-	p.conn, p.greeting = nil, nil
+	p.conn, p.greeting, p.marker = nil, nil, 0
 	for i := range p.pending { // an answer on the next link proves nothing of what was sent on this one
 		p.pending[i].sent = false
 	}
@@ -91,26 +93,29 @@
 		if err != nil {
 			return err
 		}
-		p.take(n)
-		return nil
+		return p.take(n)
 	}
 }
 
 // take passes a notice on. The core is told outside the lock: it may be waiting
 // for it.
-func (p *processorLink) take(n processor.Notice) {
+func (p *processorLink) take(n processor.Notice) error {
 	p.mu.Lock()
 	switch n.Kind {
 	case processor.Complete, processor.Ask, processor.Remark:
 		if n.Number <= p.last { // sent again after a break
 			p.mu.Unlock()
-			return
+			return nil
 		}
 		p.last = n.Number
 	}
 	tell := func() {}
 	switch n.Kind {
 	case processor.Hi:
+		if p.greeting == nil || p.marker != 0 {
+			p.mu.Unlock()
+			return fmt.Errorf("%w: hi without hello", lines.ErrBroken)
+		}
 		p.asked++
 		p.marker = p.asked
 		p.greeting.Send(processor.AppendUsage(nil, strconv.FormatUint(p.marker, 10)))
@@ -130,7 +135,7 @@
 		tag, _ := strconv.ParseUint(n.Tag, 10, 64)
 		p.proven(func(c command) bool { return c.sent && c.after < tag })
 		if p.greeting != nil && tag == p.marker {
-			p.conn, p.greeting = p.greeting, nil
+			p.conn, p.greeting, p.marker = p.greeting, nil, 0
 			p.resend()
 		}
 		if reply := p.usages[tag]; reply != nil {
@@ -150,6 +155,7 @@
 	}
 	p.mu.Unlock()
 	tell()
+	return nil
 }
 
 // proven drops the commands that the processor has read, or that a later notice
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -146,6 +146,9 @@
 	if !ok {
 		return
 	}
+	if len(o.Result.Body) > thrift.MaxResult { // of a run for the other front, which allows more
+		o = routing.Outcome{Kind: routing.Failed}
+	}
 	switch o.Kind {
 	case routing.Served:
 		t.conn.Send(thrift.AppendAnswer(nil, "execute", seq, thrift.Answer{Body: o.Result.Body, Good: true}))
