--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -136,7 +136,12 @@
 		case <-r.Context().Done():
 			m.core.Gone(id)
 		case <-m.core.Done():
-			refuse(w, maxAdvice)
+			select {
+			case o := <-answer: // it came just before the end
+				respond(w, o)
+			default: // it may have run, so it is not turned away
+				respond(w, routing.Outcome{Kind: routing.Failed})
+			}
 		}
 	})
 }
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -43,6 +43,8 @@
 		return fmt.Errorf("class %q needs a key", r.Class)
 	} else if !keyed {
 		r.Key = ""
+	} else { // a key of one class says nothing of another's
+		r.Key = r.Class + "\x00" + r.Key
 	}
 	if r.ID == "" || !(r.HeldKB > 0) {
 		return fmt.Errorf("id %q, memory %v: both are needed", r.ID, r.HeldKB)
