--- a/routing/core.go
+++ b/routing/core.go
@@ -126,6 +126,11 @@
 
 // post leaves an event for Run.
 func (c *Core) post(event func()) error {
+	select {
+	case <-c.done: // even if there is room: nobody would take it
+		return ErrStopped
+	default:
+	}
 	select {
 	case c.events <- event:
 		return nil
