--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -90,7 +90,10 @@
 func (m *Middleware) Drain(stopAt time.Time) { m.core.Drain(stopAt) }
 
 // Close ends the middleware. Requests that come after it are turned away.
-func (m *Middleware) Close() { m.stop() }
+func (m *Middleware) Close() {
+	m.stop()
+	<-m.core.Done()
+}
 
 // Health answers health checks: 200 while work is wanted, else 503.
 func (m *Middleware) Health(w http.ResponseWriter, _ *http.Request) {
