--- a/program/suite_test.go
+++ b/program/suite_test.go
@@ -82,15 +82,6 @@
 	go func() { w.Drain(); close(w.drained) }()
 }
 
-func (w *world) thriftTry(t testing.TB, class, key, body string) *standin.Try {
-	t.Helper()
-	try := must(standin.Thrift(w.Addr().String(), class, key, body))(t)
-	if err := try.Send(); err != nil {
-		t.Fatal(err)
-	}
-	return try
-}
-
 func outcome(t testing.TB, try *standin.Try) standin.Outcome {
 	t.Helper()
 	o, err := try.Outcome()
--- a/protocol/thrift/thrift.go
+++ b/protocol/thrift/thrift.go
@@ -50,7 +50,6 @@
 const (
 	UnknownMethod = 1
 	ProtocolError = 7
-	InternalError = 6
 )
 
 // ErrBroken marks bytes that are no message; the connection can't go on.
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -24,10 +24,6 @@
 // ErrCutOff is why a connection ended whose peer stopped reading.
 var ErrCutOff = errors.New("peer stopped reading")
 
-// ErrWoken is what a step sees when its read was interrupted by Wake or by
-// queued output. It is a time-out of the read, and the step is called again.
-var ErrWoken = os.ErrDeadlineExceeded
-
 // Conn is a connection served by one goroutine, which reads and also writes
 // what others queue: a queued write interrupts the read by its deadline.
 type Conn struct {
@@ -75,7 +71,7 @@
 	c.interrupt()
 }
 
-// Wake makes the current step return ErrWoken so that it can look again.
+// Wake interrupts the current step's read, so that the step can look again.
 func (c *Conn) Wake() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -105,8 +101,10 @@
 func (c *Conn) interrupt() { c.nc.SetReadDeadline(time.Unix(1, 0)) }
 
 // Serve calls step for each message until it fails, and writes what is queued
-// in between. A step must be resumable: it peeks, and discards once whole.
-// The connection is closed when Serve returns.
+// in between. A read that was interrupted for that fails with
+// os.ErrDeadlineExceeded, and the step is called again. So a step must be
+// resumable: it peeks, and discards once whole. The connection is closed when
+// Serve returns.
 func (c *Conn) Serve(step func(r *bufio.Reader) error) error {
 	defer c.nc.Close()
 	for {
--- a/transport/conn_test.go
+++ b/transport/conn_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -133,7 +134,7 @@
 		p.conn.SetReadDeadline(time.Now().Add(time.Second))
 		p.conn.Wake() // must not put the deadline off
 		err := <-p.ended
-		if !errors.Is(err, ErrWoken) || !p.conn.Expired() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !p.conn.Expired() {
 			t.Errorf("it ends with %v", err)
 		}
 	})
