--- a/program/config_test.go
+++ b/program/config_test.go
@@ -11,12 +11,19 @@
 	"quincerail.example/quincerail/policy"
 )
 
-func TestConfigFaults(t *testing.T) {
+// exampleConfig gives the text of the example's configuration.
+func exampleConfig(t *testing.T) string {
+	t.Helper()
 	text, err := os.ReadFile(filepath.Join("..", "example", "config.json"))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if _, err := ParseConfig(string(text)); err != nil {
+	return string(text)
+}
+
+func TestConfigFaults(t *testing.T) {
+	text := exampleConfig(t)
+	if _, err := ParseConfig(text); err != nil {
 		t.Fatalf("the example: %v", err)
 	}
 	for _, x := range []struct{ old, new, key string }{
@@ -30,7 +37,7 @@
 		{`"ledger": "127.0.0.1:7700",`, ``, "ledger"},
 		{`{`, `[`, "GW_CONFIG"},
 	} {
-		_, err := ParseConfig(strings.Replace(string(text), x.old, x.new, 1))
+		_, err := ParseConfig(strings.Replace(text, x.old, x.new, 1))
 		if err == nil || !strings.Contains(err.Error(), x.key) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: error %v, want one line that names %s", x.new, err, x.key)
 		}
@@ -75,11 +82,7 @@
 // TestDeployDescriptions sees that the service's descriptions and the front's
 // file lead to the same classes, and say of these what the platform's settings do.
 func TestDeployDescriptions(t *testing.T) {
-	text, err := os.ReadFile(filepath.Join("..", "example", "config.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	config, err := ParseConfig(string(text))
+	config, err := ParseConfig(exampleConfig(t))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/program/links_test.go
+++ b/program/links_test.go
@@ -5,8 +5,6 @@
 	"context"
 	"fmt"
 	"net"
-	"os"
-	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -29,11 +27,7 @@
 
 func newCore(t *testing.T, opt routing.Options) *routing.Core {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("..", "example", "config.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := ParseConfig(string(text))
+	c, err := ParseConfig(exampleConfig(t))
 	if err != nil {
 		t.Fatal(err)
 	}
