Keep a connection on which half a request has come when it is taken leave of

Seen: under a crowded core, with a grace of a second, the suite's half-read Thrift request at the notice to leave met an end of file. Cause: thriftConn.leave closed every connection without an open request a second after leaving was said (program/thrift.go), and a half-read frame is not yet an open request. Ruled out: the listener's close and the exit, which came later. Conn.Retire now ends a connection only if no part of a message has come.

--- a/program/thrift.go
+++ b/program/thrift.go
@@ -179,7 +179,7 @@
 		t.leaving = time.Now()
 		t.conn.Send(thrift.AppendLeaving(nil))
 	} else if len(t.open) == 0 && time.Since(t.leaving) > leaveWithin {
-		t.conn.Close()
+		t.conn.Retire()
 	}
 }
 
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -33,6 +33,7 @@
 	mu       sync.Mutex
 	queue    []byte
 	closing  bool      // ends once the queue is written
+	retiring bool      // ends unless a part of a message has come
 	cut      bool      // ends at once
 	deadline time.Time // for the read; zero for none
 	woken    bool
@@ -71,6 +72,15 @@
 	c.interrupt()
 }
 
+// Retire ends the connection if no part of a message has come. A message that
+// was half read goes on, and the connection with it.
+func (c *Conn) Retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retiring = true
+	c.interrupt()
+}
+
 // Wake interrupts the current step's read, so that the step can look again.
 func (c *Conn) Wake() {
 	c.mu.Lock()
@@ -117,7 +127,7 @@
 		err := step(c.r)
 		if err == nil {
 			c.mu.Lock()
-			c.last = time.Now()
+			c.last, c.retiring = time.Now(), false
 			c.mu.Unlock()
 			continue
 		}
@@ -125,9 +135,18 @@
 			c.flush() // an error answer queued by the step still goes out
 			return err
 		}
+		c.retire(c.r.Buffered() > 0)
 	}
 }
 
+// retire settles what Retire has asked for.
+func (c *Conn) retire(halfRead bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = c.closing || c.retiring && !halfRead
+	c.retiring = false
+}
+
 // linger lets the peer read the last bytes: closing while input is unread would
 // reset the connection and could take them away.
 func (c *Conn) linger() {
--- a/transport/conn_test.go
+++ b/transport/conn_test.go
@@ -127,6 +127,32 @@
 	})
 }
 
+// TestRetire guards against an end that loses half a message: it may be a
+// request, which is owed an answer once it is whole.
+func TestRetire(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPeer()
+		defer p.Close()
+		p.Write([]byte("ha"))
+		p.conn.Retire()
+		synctest.Wait()
+		p.Write([]byte("l"))
+		synctest.Wait()
+		if string(p.taken) != "hal" {
+			t.Fatalf("taken %q", p.taken)
+		}
+		select {
+		case err := <-p.ended:
+			t.Fatalf("it ends with %v", err)
+		default:
+		}
+		p.conn.Retire()
+		if err := <-p.ended; err != nil {
+			t.Errorf("it ends with %v", err)
+		}
+	})
+}
+
 func TestReadDeadline(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPeer()
