Let a given-up call settle before the module hears of it

The ledger's wire showed why: a call made in the microseconds after one was given up is answered expired, and the next ones moot, until the breaker trips. Ruled out: abandon and post crossing over two connections (the same over one), the ledger keeping the stated time itself (40 ms more changed nothing), leaving the abandon out. Lines at fault: the time-out in routing/send.go, Call. The module now hears of it two batches later.

--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -30,6 +30,8 @@
 	answered map[string]time.Time
 	asked    map[string]int // number of the call that is out
 	resumed  map[string]string
+	gaveUp   map[string]time.Time // when the last call of a run was given up
+	hasty    []string             // runs that called again too soon after that
 	stopped  []string
 	present  []bool
 	cancel   context.CancelFunc
@@ -84,12 +86,16 @@
 func (p *party) Call(id string, number int, _ time.Duration, _ []byte) {
 	defer p.lock()()
 	p.asked[id] = number
+	if at, ok := p.gaveUp[id]; ok && time.Since(at) <= settings().BatchGap {
+		p.hasty = append(p.hasty, id)
+	}
 }
 
 // Abandon implements Dependency.
 func (p *party) Abandon(id string) {
 	defer p.lock()()
 	delete(p.asked, id)
+	p.gaveUp[id] = time.Now()
 }
 
 // Accepting implements Presence.
@@ -121,7 +127,8 @@
 func newParty(t *testing.T) *party {
 	t.Helper()
 	p := &party{begun: make(map[string]time.Time), runs: make(map[string]int), answers: make(map[string][]Outcome),
-		answered: make(map[string]time.Time), asked: make(map[string]int), resumed: make(map[string]string)}
+		answered: make(map[string]time.Time), asked: make(map[string]int), resumed: make(map[string]string),
+		gaveUp: make(map[string]time.Time)}
 	core, err := New(Options{Settings: settings(), Classes: []string{"read", "gift", "receipt"}, Seed: 1, Backend: p, Dependency: p, Presence: p})
 	if err != nil {
 		t.Fatal(err)
@@ -298,6 +305,13 @@
 		if p.resumed["a"] == "late" {
 			t.Error("a reply to a call that was given up is passed on")
 		}
+		p.sleep(50 * time.Millisecond)
+		if p.asked["a"] <= first {
+			t.Error("the call is not made again")
+		}
+		if len(p.hasty) > 0 {
+			t.Errorf("called again before the giving up was taken in: %v", p.hasty)
+		}
 	})
 }
 
@@ -382,6 +396,9 @@
 			p.wait()
 		}
 		p.sleep(testDeadline + time.Second)
+		if len(p.hasty) > 0 {
+			t.Errorf("called again before the giving up was taken in: %v", p.hasty)
+		}
 		ran := make(map[string]time.Time) // by key
 		for _, id := range order {
 			x, answers := tries[id], p.answers[id]
--- a/routing/relay.go
+++ b/routing/relay.go
@@ -50,7 +50,7 @@
 // Called tells how the call of that number ended.
 func (c *Core) Called(id string, number int, end CallEnd, reply []byte) {
 	c.post(func() {
-		if a := c.attempts[id]; a != nil {
+		if a := c.attempts[id]; a != nil && a.call != nil && !a.call.givenUp {
 			c.called(a, number, end, reply)
 		}
 	})
--- a/routing/send.go
+++ b/routing/send.go
@@ -9,11 +9,12 @@
 
 // call is the call that a run stands at.
 type call struct {
-	notice uint64
-	body   []byte
-	out    bool
-	since  time.Duration
-	timer  *time.Timer
+	notice  uint64
+	body    []byte
+	out     bool
+	givenUp bool // while it is out: a reply is too late
+	since   time.Duration
+	timer   *time.Timer
 }
 
 // Send: work goes to the backend, calls go below.
@@ -32,7 +33,7 @@
 		return
 	}
 	k := a.call
-	k.out, k.since = true, h.now
+	k.out, k.givenUp, k.since = true, false, h.now
 	a.calls++
 	number := a.calls
 	if h.opt.Dependency == nil {
@@ -42,14 +43,23 @@
 	k.timer = time.AfterFunc(timeout, func() {
 		h.post(func() {
 			if a.call == k && k.out && a.calls == number {
+				k.givenUp = true
 				h.opt.Dependency.Abandon(id)
-				h.called(a, number, policy.TimedOut, nil)
+				k.timer = time.AfterFunc(h.settling(), func() {
+					h.post(func() { h.called(a, number, policy.TimedOut, nil) })
+				})
 			}
 		})
 	})
 	h.opt.Dependency.Call(id, number, timeout, k.body)
 }
 
+// settling is how long after a call was given up the module hears of it. The
+// run stands at the call again only when those around have taken the giving up
+// in, which they do once a batch: a call made before that is given up with the
+// first, and further ones find no run that waits.
+func (c *Core) settling() time.Duration { return 2 * c.opt.Settings.BatchGap }
+
 // Skip has a run go on without its call.
 func (h host) Skip(id string) {
 	if a := h.attempts[id]; a != nil && a.call != nil {
