Re-read the configuration at SIGHUP, and move the links to their new addresses

Checked: cmd/quincerail/main.go registered SIGTERM and Interrupt only; program.Start gave each link its address once (program.go: link.run, newLedgerPool, newAnnouncer), so that a handler alone would have left the server without processor, ledger and announce service 1.5 s later. Ruled out: memory (7 of 64 MB) and descriptors (20 of 512).

Changed: the signal is taken from the first line of run on, also while it drains; a file that makes no sense is logged and changes nothing. transport.Link replaces KeepLink: it dials the new address while the present connection goes on. The processor's link passes over what a replaced connection still brings: with that line taken out, TestProcessorMove loses a result, because a late notice's number hides the ones before it. The ledger's calls that are out are waited for at the old address. The uwsgi front's routes, limits and backend are re-read as well.

--- a/cmd/quincerail/main.go
+++ b/cmd/quincerail/main.go
@@ -25,24 +25,40 @@
 }
 
 func run(uwsgi string) error {
+	hup := make(chan os.Signal, 1) // at once: a signal that nobody takes ends the program
+	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	config, err := program.LoadConfig(os.Getenv("GW_CONFIG"))
+	config, front, err := load(uwsgi)
 	if err != nil {
 		return err
 	}
-	var front *program.UWSGIConfig
-	if uwsgi != "" {
-		if front, err = program.LoadUWSGI(uwsgi, config.Classes); err != nil {
-			return err
-		}
-	}
 	program.Limit(config)
 	server, err := program.Start(config, front)
 	if err != nil {
 		return err
 	}
+	go func() { // also while it drains
+		for range hup {
+			config, front, err := load(uwsgi)
+			if err != nil { // what works is kept
+				log.Printf("event=reload_failed error=%q", err)
+				continue
+			}
+			server.Reload(config, front)
+		}
+	}()
 	<-ctx.Done()
 	server.Drain()
 	return nil
 }
+
+// load reads the configuration, and that of the uwsgi front where there is one.
+func load(uwsgi string) (*program.Config, *program.UWSGIConfig, error) {
+	config, err := program.LoadConfig(os.Getenv("GW_CONFIG"))
+	if err != nil || uwsgi == "" {
+		return config, nil, err
+	}
+	front, err := program.LoadUWSGI(uwsgi, config.Classes)
+	return config, front, err
+}
--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -39,6 +39,8 @@
 // node is the built program at work among stand-ins.
 type node struct {
 	cmd       *exec.Cmd
+	config    string         // path
+	addresses map[string]any // of the configuration
 	work      *standin.Work
 	processor *standin.Processor
 	ledger    *standin.Ledger
@@ -89,8 +91,9 @@
 	must(t, 0, err)
 	app, err := standin.NewApp(anyPort, n.work)
 	must(t, 0, err)
-	config := writeConfig(t, map[string]any{"listen": anyPort, "processor": n.processor.Addr(),
-		"ledger": n.ledger.Addr(), "announce": n.announce.Addr()})
+	n.addresses = map[string]any{"listen": anyPort, "processor": n.processor.Addr(),
+		"ledger": n.ledger.Addr(), "announce": n.announce.Addr()}
+	n.config = writeConfig(t, n.addresses)
 	front := filepath.Join(t.TempDir(), "uwsgi.toml")
 	text := fmt.Sprintf("listen = %q\nbackend = %q\n", anyPort, app.Addr())
 	for _, class := range []string{"kampanjsida", "givarhistorik", "ny-gava"} {
@@ -99,7 +102,7 @@
 	must(t, 0, os.WriteFile(front, []byte(text), 0o600))
 
 	n.cmd = exec.Command(binary, "-uwsgi", front)
-	n.cmd.Env = append(os.Environ(), "GW_CONFIG="+config)
+	n.cmd.Env = append(os.Environ(), "GW_CONFIG="+n.config)
 	stderr, err := n.cmd.StderrPipe()
 	must(t, 0, err)
 	must(t, 0, n.cmd.Start())
@@ -195,6 +198,57 @@
 	return n, try
 }
 
+// TestReload has the parties move while work runs, and the signal sent that they
+// have: first with a file that makes no sense, which must change nothing, and
+// again while the program drains. Without a handler the signal ends the program.
+func TestReload(t *testing.T) {
+	n, try := startRun(t)
+	good, err := os.ReadFile(n.config)
+	must(t, 0, err)
+	must(t, 0, os.WriteFile(n.config, []byte("{"), 0o600))
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGHUP))
+	if got := n.ask(t, standin.Thrift, n.thrift, "kampanjsida", "", "call one"); got.Body != "done: call one" {
+		t.Errorf("after a file that makes no sense: %v", got)
+	}
+	must(t, 0, os.WriteFile(n.config, good, 0o600))
+
+	must(t, 0, n.processor.Move(anyPort))
+	ledger, err := standin.NewLedger(anyPort)
+	must(t, 0, err)
+	defer ledger.Close()
+	announce, err := standin.NewAnnounce(anyPort)
+	must(t, 0, err)
+	defer announce.Close()
+	n.ledger.Close()
+	n.announce.Close()
+	n.addresses["processor"], n.addresses["ledger"], n.addresses["announce"] = n.processor.Addr(), ledger.Addr(), announce.Addr()
+	must(t, 0, os.Rename(writeConfig(t, n.addresses), n.config))
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGHUP))
+	if got, want := <-announce.Reports, `PUT /announce/n1 {"accepting":"true"}`; got != want {
+		t.Errorf("report %s at the new address, want %s", got, want)
+	}
+	if o, err := try.Outcome(); err != nil || o.Body != "done: gift" || n.work.Runs("gift") != 1 {
+		t.Errorf("what ran: %v, %v, %d runs", o, err, n.work.Runs("gift"))
+	}
+	if got := n.ask(t, standin.Thrift, n.thrift, "kampanjsida", "", "call two"); got.Body != "done: call two" {
+		t.Errorf("after the move: %v", got)
+	}
+	if call := <-ledger.Calls; call != "call two" {
+		t.Errorf("the new ledger is called with %q", call)
+	}
+
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGTERM))
+	for report := range announce.Reports {
+		if strings.Contains(report, "false") {
+			break
+		}
+	}
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGHUP))
+	if err := <-n.exited; err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+}
+
 // TestLinkBreak breaks the processor's link while work runs: its end is told
 // over the next link, once.
 func TestLinkBreak(t *testing.T) {
--- a/internal/standin/processor.go
+++ b/internal/standin/processor.go
@@ -15,7 +15,7 @@
 // Processor stands in for the processor.
 type Processor struct {
 	work     *Work
-	listener net.Listener
+	listener net.Listener // the newest
 	born     time.Time
 	up       chan struct{}
 
@@ -51,6 +51,19 @@
 // again and again.
 func (p *Processor) Up() <-chan struct{} { return p.up }
 
+// Move has it listen at a new address, and no more at the old one. The link that
+// is open goes on until the app server opens the next.
+func (p *Processor) Move(address string) error {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return fmt.Errorf("processor: %w", err)
+	}
+	p.listener.Close()
+	p.listener = l
+	go accept(l, p.serve)
+	return nil
+}
+
 // Close ends it.
 func (p *Processor) Close() { p.listener.Close(); p.Break() }
 
--- a/program/announce.go
+++ b/program/announce.go
@@ -18,12 +18,22 @@
 // announcer reports whether work is taken, steadily and at every change. It
 // works alone: an outage of the service touches nothing else.
 type announcer struct {
-	address, name string
-	changes       chan bool
+	name    string
+	changes chan bool
+	moves   chan string
 }
 
-func newAnnouncer(address, name string) *announcer {
-	return &announcer{address: address, name: name, changes: make(chan bool, 1)}
+func newAnnouncer(name string) *announcer {
+	return &announcer{name: name, changes: make(chan bool, 1), moves: make(chan string, 1)}
+}
+
+// move has reports go to another address. Only the newest counts.
+func (a *announcer) move(address string) {
+	select {
+	case <-a.moves:
+	default:
+	}
+	a.moves <- address // only the server's reloads put in, one after the other
 }
 
 // Accepting implements routing.Presence. Only the newest word counts.
@@ -36,7 +46,7 @@
 }
 
 // run reports until ctx ends.
-func (a *announcer) run(ctx context.Context) {
+func (a *announcer) run(ctx context.Context, address string) {
 	accepting, down := true, false
 	var nc net.Conn
 	var r *bufio.Reader
@@ -45,13 +55,13 @@
 	for {
 		err := func() (err error) {
 			if nc == nil {
-				if nc, err = net.DialTimeout("tcp", a.address, reportWithin); err != nil {
+				if nc, err = net.DialTimeout("tcp", address, reportWithin); err != nil {
 					return err
 				}
 				r = bufio.NewReader(nc)
 			}
 			nc.SetDeadline(time.Now().Add(reportWithin))
-			if _, err = nc.Write(announce.AppendReport(nil, a.address, a.name, accepting)); err != nil {
+			if _, err = nc.Write(announce.AppendReport(nil, address, a.name, accepting)); err != nil {
 				return err
 			}
 			_, err = announce.ReadStatus(r)
@@ -72,6 +82,11 @@
 			}
 			return
 		case accepting = <-a.changes:
+		case address = <-a.moves:
+			if nc != nil {
+				nc.Close()
+				nc = nil
+			}
 		case <-ticker.C:
 		}
 	}
--- a/program/ledger.go
+++ b/program/ledger.go
@@ -23,18 +23,19 @@
 // of one run go over one after the other of them, by their numbers, so that the
 // late reply to a call that was given up can't be taken for the next one's.
 type ledgerPool struct {
-	core    *routing.Core
-	address string
+	core *routing.Core
 
-	mu    sync.Mutex
-	slots [ledgerConns]*ledgerConn
-	where map[string]*ledgerConn // of the call that is out
+	mu      sync.Mutex
+	address string
+	slots   [ledgerConns]*ledgerConn
+	where   map[string]*ledgerConn // of the call that is out
 }
 
 // ledgerConn is one connection, which may still be dialled.
 type ledgerConn struct {
 	conn  *transport.Conn // nil until it is open
 	ended bool
+	left  bool // the ledger has moved: it ends with its last call
 	calls map[string]*ledgerCall
 }
 
@@ -72,6 +73,32 @@
 	}
 }
 
+// move has calls go to another address. Those that are out are waited for where
+// they were made.
+func (l *ledgerPool) move(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if address == l.address {
+		return
+	}
+	l.address = address
+	for i, k := range l.slots {
+		if k != nil {
+			k.left = true
+			k.closeLeft()
+			l.slots[i] = nil
+		}
+	}
+}
+
+// closeLeft ends a connection to an address that was left, once nothing is out
+// on it. The lock is held.
+func (k *ledgerConn) closeLeft() {
+	if k.left && k.conn != nil && len(k.calls) == 0 {
+		k.conn.Close()
+	}
+}
+
 // Abandon implements routing.Dependency.
 func (l *ledgerPool) Abandon(id string) {
 	l.mu.Lock()
@@ -85,12 +112,13 @@
 	if k.conn != nil {
 		k.conn.Send(ledger.AppendAbandon(nil, id))
 	}
+	k.closeLeft()
 }
 
 // open dials a connection and works it until it ends. Calls that never left
 // for a refused connection never ran; of those on one that broke nothing is known.
 func (l *ledgerPool) open(k *ledgerConn) {
-	nc, err := net.DialTimeout("tcp", l.address, ledgerDialIn)
+	nc, err := l.dial()
 	if err != nil {
 		l.end(k, policy.ConnectFailed)
 		return
@@ -100,6 +128,7 @@
 	for id, call := range k.calls {
 		k.conn.Send(ledger.AppendPost(nil, id, call.wait, call.body))
 	}
+	k.closeLeft()
 	l.mu.Unlock()
 	k.conn.Serve(func(r *bufio.Reader) error {
 		reply, err := ledger.Read(r)
@@ -112,6 +141,22 @@
 	l.end(k, policy.Reset)
 }
 
+// dial opens a connection to the ledger, wherever it moves meanwhile.
+func (l *ledgerPool) dial() (net.Conn, error) {
+	for {
+		l.mu.Lock()
+		address := l.address
+		l.mu.Unlock()
+		nc, err := net.DialTimeout("tcp", address, ledgerDialIn)
+		l.mu.Lock()
+		moved := address != l.address
+		l.mu.Unlock()
+		if err == nil || !moved {
+			return nc, err
+		}
+	}
+}
+
 func (l *ledgerPool) take(k *ledgerConn, reply ledger.Reply) {
 	l.mu.Lock()
 	call := k.calls[reply.ID]
@@ -121,6 +166,7 @@
 			delete(l.where, reply.ID)
 		}
 	}
+	k.closeLeft()
 	l.mu.Unlock()
 	if call == nil { // to a call that was given up
 		return
--- a/program/links_test.go
+++ b/program/links_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -63,6 +64,7 @@
 	begun   []string
 	notices []string
 	deaf    bool // what is written now is lost with the link
+	mute    bool // nothing is said to hello
 }
 
 func (e *engine) open() {
@@ -90,6 +92,9 @@
 	switch words[0] {
 	case "hello":
 		last, _ := strconv.Atoi(words[1])
+		if e.mute {
+			return
+		}
 		fmt.Fprintf(e.far, "hi old 5\r\n%s", strings.Join(e.notices[last:], ""))
 	case "usage":
 		fmt.Fprintf(e.far, "used %s 0 0 0 0\r\n", words[1])
@@ -113,7 +118,7 @@
 	e.far.Close()
 	<-e.done
 	synctest.Wait()
-	e.link.lost()
+	e.link.closed(e.near, io.EOF)
 }
 
 // FuzzProcessorLink checks the link against a model: up, deaf (about to break),
@@ -121,7 +126,7 @@
 // the link breaks and whatever is lost with it.
 func FuzzProcessorLink(f *testing.F) {
 	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
-		link := newProcessorLink(nil)
+		link := newProcessorLink("", nil)
 		link.core = newCore(t, routing.Options{Backend: link, Machine: link})
 		e := &engine{t: t, link: link}
 		got := make(answers, 1000)
@@ -169,11 +174,45 @@
 	})
 }
 
+// TestProcessorMove guards a move of the link: while the new one brings the
+// notices that were missed, a later one that still comes over the old would hide
+// them by its number.
+func TestProcessorMove(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		link := newProcessorLink("", nil)
+		link.core = newCore(t, routing.Options{Backend: link, Machine: link})
+		e := &engine{t: t, link: link}
+		e.open()
+		got := make(answers, 2)
+		submit(t, link.core, "r0", "kampanjsida", got)
+		submit(t, link.core, "r1", "kampanjsida", got)
+		old := e.far
+		e.deaf = true
+		e.complete("r0") // lost on its way
+		e.complete("r1")
+		late := e.notices[1]
+		e.mute = true // the new link's notices are held back
+		e.open()
+		go io.WriteString(old, late)
+		synctest.Wait()
+		e.mute = false
+		fmt.Fprintf(e.far, "hi old 5\r\n%s", strings.Join(e.notices, ""))
+		synctest.Wait()
+		for range 2 {
+			if a := <-got; !strings.HasSuffix(a, fmt.Sprint(" ", routing.Served)) {
+				t.Errorf("answer %s", a)
+			}
+		}
+		old.Close()
+		e.cut()
+	})
+}
+
 // TestProcessorReject sees that a begin which was not carried out fails its
 // request at once.
 func TestProcessorReject(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		link := newProcessorLink(nil)
+		link := newProcessorLink("", nil)
 		link.core = newCore(t, routing.Options{Backend: link, Machine: link})
 		e := &engine{t: t, link: link}
 		e.open()
@@ -192,13 +231,13 @@
 func TestProcessorOutOfTurn(t *testing.T) {
 	for _, bytes := range []string{"hi old 5\r\n", "used 1 0\r\nhi new 5\r\n", "sing\r\n", "complete 1 a good 1 99999999\r\n"} {
 		synctest.Test(t, func(t *testing.T) {
-			link := newProcessorLink(nil)
+			link := newProcessorLink("", nil)
 			link.core = newCore(t, routing.Options{Backend: link, Machine: link})
 			e := &engine{t: t, link: link}
 			e.open()
 			go e.far.Write([]byte(bytes))
 			<-e.done // the link is closed
-			link.lost()
+			link.closed(e.near, io.EOF)
 		})
 	}
 }
@@ -349,6 +388,68 @@
 	}
 }
 
+// TestLedgerMoves sees that a call which is out when the ledger moves is waited
+// for where it was made, that the next one goes to the new address, and that the
+// old connection then ends.
+func TestLedgerMoves(t *testing.T) {
+	type post struct {
+		id   string
+		conn net.Conn
+	}
+	posts, ended := make(chan post, 2), make(chan net.Conn, 2)
+	listen := func() net.Listener {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() {
+			for nc, err := l.Accept(); err == nil; nc, err = l.Accept() {
+				go func() {
+					r := bufio.NewReader(nc)
+					for {
+						words, _, err := lines.Read(r, func(w []string) bool { return w[0] == "post" })
+						if err != nil {
+							ended <- nc
+							return
+						}
+						posts <- post{words[1], nc}
+					}
+				}()
+			}
+		}()
+		return l
+	}
+	first, second := listen(), listen()
+	defer second.Close()
+	pool, back := newLedgerPool(first.Addr().String()), &asking{resumed: make(chan string, 2)}
+	core := newCore(t, routing.Options{Backend: back, Dependency: pool})
+	pool.core, back.core = core, core
+	core.Started(false, 0)
+	got := make(answers, 2)
+	call := func(id string) post {
+		if err := core.Submit(routing.Request{ID: id, Class: "ny-gava", Key: id, Door: time.Now(), HeldKB: 1, Sink: got}); err != nil {
+			t.Fatal(err)
+		}
+		return <-posts
+	}
+	a := call("a")
+	pool.move(second.Addr().String())
+	first.Close()
+	b := call("b")
+	if b.conn.LocalAddr().String() != second.Addr().String() {
+		t.Errorf("the call after the move comes to %s", b.conn.LocalAddr())
+	}
+	for _, p := range []post{a, b} {
+		fmt.Fprintf(p.conn, "%s posted 2\r\nok\r\n", p.id)
+		if answer := <-got; answer != fmt.Sprint(p.id, " ", routing.Served) {
+			t.Errorf("answer %s", answer)
+		}
+	}
+	if nc := <-ended; nc != a.conn {
+		t.Error("the connection that ends is not the old one")
+	}
+}
+
 // dependency tells of each call on its way to the pool.
 type dependency struct {
 	*ledgerPool
--- a/program/processor.go
+++ b/program/processor.go
@@ -2,7 +2,7 @@
 
 import (
 	"bufio"
-	"context"
+	"errors"
 	"fmt"
 	"log"
 	"slices"
@@ -38,11 +38,16 @@
 // have lost what was written last, so commands are kept until the answer to a
 // later question, or a notice of their run, proves that they were read. On a
 // new link what is not proven is sent again, once all missed notices are in.
+//
+// The link may move to another address. What the connection before still says
+// is passed over then: the processor says it again on the new one.
 type processorLink struct {
 	core   *routing.Core
 	gauges []string
+	link   *transport.Link
 
 	mu       sync.Mutex
+	present  *transport.Conn // the newest, in order or not; nil between a break and the next
 	conn     *transport.Conn // nil while there is no link in order
 	last     uint64          // number of the last notice read
 	asked    uint64          // number of the last question
@@ -53,31 +58,43 @@
 	greeting *transport.Conn
 }
 
-func newProcessorLink(gauges []string) *processorLink {
-	return &processorLink{gauges: gauges, usages: make(map[uint64]func(policy.Gauges)), trials: make(map[string]func(bool))}
+func newProcessorLink(address string, gauges []string) *processorLink {
+	p := &processorLink{gauges: gauges, usages: make(map[uint64]func(policy.Gauges)), trials: make(map[string]func(bool))}
+	p.link = transport.NewLink(address, p.opened, p.closed)
+	return p
 }
 
-// run keeps the link until ctx ends.
-func (p *processorLink) run(ctx context.Context, address string) {
-	transport.KeepLink(ctx, address, p.opened, func(err error) {
-		p.lost()
-		if ctx.Err() == nil {
-			log.Printf("event=processor_link_lost error=%q", err)
-		}
-	})
-}
+// errReplaced ends a connection that a newer one has replaced.
+var errReplaced = errors.New("replaced by a newer link")
 
-// lost takes in that the link is broken. Trials on it have no result.
-func (p *processorLink) lost() {
+// closed takes in that a connection has ended. One that was replaced before
+// leaves nothing behind.
+func (p *processorLink) closed(c *transport.Conn, err error) {
 	p.mu.Lock()
-	p.conn, p.greeting, p.marker = nil, nil, 0
+	if p.present != c {
+		p.mu.Unlock()
+		return
+	}
+	trials := p.lost()
+	p.mu.Unlock()
+	log.Printf("event=processor_link_lost error=%q", errorText(err))
+	fail(trials)
+}
+
+// lost takes in that the present connection is of no more use. The trials that
+// it gives have no result. The lock is held.
+func (p *processorLink) lost() (trials map[string]func(bool)) {
+	p.present, p.conn, p.greeting, p.marker = nil, nil, nil, 0
 	for i := range p.pending { // an answer on the next link proves nothing of what was sent on this one
 		p.pending[i].sent = false
 	}
 	clear(p.usages)
-	trials := p.trials
+	trials = p.trials
 	p.trials = make(map[string]func(bool))
-	p.mu.Unlock()
+	return trials
+}
+
+func fail(trials map[string]func(bool)) {
 	for _, reply := range trials {
 		reply(false)
 	}
@@ -85,22 +102,28 @@
 
 func (p *processorLink) opened(c *transport.Conn) func(*bufio.Reader) error {
 	p.mu.Lock()
-	p.greeting = c
+	trials := p.lost() // where it moves, the connection before is still open
+	p.present, p.greeting = c, c
 	c.Send(processor.AppendHello(nil, p.last))
 	p.mu.Unlock()
+	fail(trials)
 	return func(r *bufio.Reader) error {
 		n, err := processor.Read(r)
 		if err != nil {
 			return err
 		}
-		return p.take(n)
+		return p.take(c, n)
 	}
 }
 
 // take passes a notice on. The core is told outside the lock: it may be waiting
 // for it.
-func (p *processorLink) take(n processor.Notice) error {
+func (p *processorLink) take(c *transport.Conn, n processor.Notice) error {
 	p.mu.Lock()
+	if p.present != c { // taken in now, its number would hide those that the new link has yet to bring
+		p.mu.Unlock()
+		return errReplaced
+	}
 	switch n.Kind {
 	case processor.Complete, processor.Ask, processor.Remark:
 		if n.Number <= p.last { // sent again after a break
--- a/program/program.go
+++ b/program/program.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"log"
 	"net"
+	"reflect"
 	"runtime"
 	"runtime/debug"
 	"sync/atomic"
@@ -46,12 +47,18 @@
 
 // Server is a running app server.
 type Server struct {
-	config *Config
-	core   *routing.Core
-	thrift *thriftFront
-	idle   *idleLimit
-	doors  []door // the first is the platform's
-	stop   context.CancelFunc
+	config   *Config // as it started
+	stopIn   atomic.Int64
+	core     *routing.Core
+	link     *processorLink
+	pool     *ledgerPool
+	presence *announcer
+	thrift   *thriftFront
+	uwsgi    *uwsgiFront // nil where it is off, like its backend
+	backend  *uwsgiBackend
+	idle     *idleLimit
+	doors    []door // the first is the platform's
+	stop     context.CancelFunc
 }
 
 // Limit sets the process's memory limit and threads from the configuration.
@@ -62,8 +69,8 @@
 
 // Start brings an app server up. The uwsgi front is off where u is nil.
 func Start(c *Config, u *UWSGIConfig) (*Server, error) {
-	link, pool := newProcessorLink(c.Gauges), newLedgerPool(c.Ledger)
-	presence, idle := newAnnouncer(c.Announce, c.Name), &idleLimit{}
+	link, pool := newProcessorLink(c.Processor, c.Gauges), newLedgerPool(c.Ledger)
+	presence, idle := newAnnouncer(c.Name), &idleLimit{}
 	idle.CloseIdle(c.Settings.MaxIdle)
 	core, err := routing.New(routing.Options{Settings: c.Settings, Classes: c.Classes, Seed: c.Seed,
 		Backend: link, Machine: link, Dependency: pool, Presence: presence, Connections: idle,
@@ -72,13 +79,15 @@
 		return nil, err
 	}
 	link.core, pool.core = core, core
-	s := &Server{config: c, core: core, thrift: newThriftFront(core), idle: idle}
+	s := &Server{config: c, core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core), idle: idle}
+	s.stopIn.Store(int64(c.Stop))
 	if err := s.listen("listen", c.Listen, c.Sockets/frontShare, s.thrift); err != nil {
 		return nil, err
 	}
 	if u != nil {
-		backend := newUWSGIBackend(core, u.Backend)
-		if err := s.listen("uwsgi listen", u.Listen, c.Sockets/uwsgiShare, newUWSGIFront(core, backend, u)); err != nil {
+		s.backend = newUWSGIBackend(core, u.Backend)
+		s.uwsgi = newUWSGIFront(core, s.backend, u)
+		if err := s.listen("uwsgi listen", u.Listen, c.Sockets/uwsgiShare, s.uwsgi); err != nil {
 			s.doors[0].server.Close()
 			return nil, err
 		}
@@ -86,8 +95,8 @@
 	working, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	go core.Run(working)
-	go link.run(working, c.Processor)
-	go presence.run(working)
+	go link.link.Run(working)
+	go presence.run(working, c.Announce)
 	go s.sweep(working)
 	for _, d := range s.doors {
 		go d.server.Run()
@@ -116,6 +125,31 @@
 	return s.doors[1].server.Addr()
 }
 
+// Reload takes over a new configuration while all goes on: where the other
+// parties are, the limits, and how soon the kill follows the notice to leave.
+// What can't change in a running process is named in the log, and stays. u may
+// be nil. It must not be called twice at a time.
+func (s *Server) Reload(c *Config, u *UWSGIConfig) {
+	Limit(c)
+	s.stopIn.Store(int64(c.Stop))
+	s.link.link.Move(c.Processor)
+	s.pool.move(c.Ledger)
+	s.presence.move(c.Announce)
+	was := s.config
+	stays := map[string]bool{"name": c.Name != was.Name, "listen": c.Listen != was.Listen,
+		"limits.sockets": c.Sockets != was.Sockets, "settings": !reflect.DeepEqual(c.Settings, was.Settings)}
+	if s.uwsgi != nil && u != nil {
+		s.backend.move(u.Backend)
+		stays["uwsgi listen"] = s.uwsgi.reload(u)
+	}
+	for key, changed := range stays {
+		if changed {
+			log.Printf("event=reload_ignored key=%q reason=%q", key, "needs a restart")
+		}
+	}
+	log.Printf("event=reloaded processor=%s ledger=%s announce=%s", c.Processor, c.Ledger, c.Announce)
+}
+
 // sweep takes leave of idle connections until ctx ends.
 func (s *Server) sweep(ctx context.Context) {
 	for {
@@ -136,8 +170,9 @@
 // have closed their connections, or just before the process is killed.
 func (s *Server) Drain() {
 	defer s.stop()
-	stopAt := time.Now().Add(s.config.Stop)
-	log.Printf("event=drain stop_in=%v", s.config.Stop)
+	stopIn := time.Duration(s.stopIn.Load())
+	stopAt := time.Now().Add(stopIn)
+	log.Printf("event=drain stop_in=%v", stopIn)
 	s.core.Drain(stopAt)
 	for _, d := range s.doors {
 		d.front.leave()
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -7,6 +7,7 @@
 	"os"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quincerail.example/quincerail/describe"
@@ -26,14 +27,27 @@
 type uwsgiFront struct {
 	core    *routing.Core
 	backend routing.Backend
-	config  *UWSGIConfig
-	routes  describe.Routes
+	now     atomic.Pointer[uwsgiSettings]
 	conns   registry[*uwsgiConn]
 }
 
+// uwsgiSettings is the configuration in force, which a reload replaces.
+type uwsgiSettings struct {
+	*UWSGIConfig
+	table describe.Routes
+}
+
 func newUWSGIFront(core *routing.Core, backend routing.Backend, config *UWSGIConfig) *uwsgiFront {
-	return &uwsgiFront{core: core, backend: backend, config: config, routes: config.routes(),
-		conns: newRegistry[*uwsgiConn]()}
+	f := &uwsgiFront{core: core, backend: backend, conns: newRegistry[*uwsgiConn]()}
+	f.reload(config)
+	return f
+}
+
+// reload takes over a configuration for the requests to come. It tells whether
+// another address to listen on was asked for, which needs a restart.
+func (f *uwsgiFront) reload(config *UWSGIConfig) (listenChanged bool) {
+	was := f.now.Swap(&uwsgiSettings{config, config.routes()})
+	return was != nil && was.Listen != config.Listen
 }
 
 // uwsgiConn is one connection and its request.
@@ -50,7 +64,7 @@
 
 // serve works one connection. If it ends before the answer, the caller is gone.
 func (f *uwsgiFront) serve(c *transport.Conn) {
-	u := &uwsgiConn{front: f, conn: c, decoder: uwsgi.Decoder{MaxBody: f.config.MaxBody}}
+	u := &uwsgiConn{front: f, conn: c, decoder: uwsgi.Decoder{MaxBody: f.now.Load().MaxBody}}
 	f.conns.add(u)
 	defer f.conns.remove(u)
 	c.SetReadDeadline(time.Now().Add(uwsgiReadWithin))
@@ -102,6 +116,7 @@
 // take hands a request in. It arrived now that its last byte is read.
 func (u *uwsgiConn) take(req *uwsgi.Request) {
 	f, path := u.front, req.Get("PATH_INFO")
+	now := f.now.Load()
 	if path == "" {
 		path, _, _ = strings.Cut(req.Get("REQUEST_URI"), "?")
 	}
@@ -110,7 +125,7 @@
 	u.id = id
 	u.conn.SetReadDeadline(time.Time{}) // from here on the core answers in time
 	u.mu.Unlock()
-	if f.config.HealthPath != "" && path == f.config.HealthPath {
+	if now.HealthPath != "" && path == now.HealthPath {
 		f.core.Check(false, func(good bool) {
 			if good {
 				u.respond(http.StatusOK)
@@ -120,7 +135,7 @@
 		})
 		return
 	}
-	route, ok := f.routes.Match(req.Get("REQUEST_METHOD"), path)
+	route, ok := now.table.Match(req.Get("REQUEST_METHOD"), path)
 	if !ok {
 		u.respond(http.StatusNotFound)
 		return
--- a/program/uwsgibackend.go
+++ b/program/uwsgibackend.go
@@ -15,26 +15,34 @@
 // uwsgiBackend runs requests at a uwsgi application server, a connection each.
 // A run is sent once: after a break nobody knows whether it had its effect.
 type uwsgiBackend struct {
-	core    *routing.Core
-	address string
+	core *routing.Core
 
-	mu   sync.Mutex
-	runs map[string]context.CancelFunc
+	mu      sync.Mutex
+	address string
+	runs    map[string]context.CancelFunc
 }
 
 func newUWSGIBackend(core *routing.Core, address string) *uwsgiBackend {
 	return &uwsgiBackend{core: core, address: address, runs: make(map[string]context.CancelFunc)}
 }
 
+// move has the runs to come go to another address.
+func (b *uwsgiBackend) move(address string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.address = address
+}
+
 // Begin implements routing.Backend.
 func (b *uwsgiBackend) Begin(r routing.Run) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.Due)
 	b.mu.Lock()
 	b.runs[r.ID] = cancel
+	address := b.address
 	b.mu.Unlock()
 	go func() {
 		began := time.Now()
-		end, result := b.run(ctx, r)
+		end, result := b.run(ctx, address, r)
 		b.mu.Lock()
 		delete(b.runs, r.ID)
 		b.mu.Unlock()
@@ -47,7 +55,7 @@
 }
 
 // run does one attempt. A connection that was refused proves that nothing ran.
-func (b *uwsgiBackend) run(ctx context.Context, r routing.Run) (routing.End, routing.Payload) {
+func (b *uwsgiBackend) run(ctx context.Context, address string, r routing.Run) (routing.End, routing.Payload) {
 	var vars []uwsgi.Var
 	method := ""
 	for _, f := range r.Payload.Fields {
@@ -60,7 +68,7 @@
 	if err != nil {
 		return routing.Unborn, routing.Payload{}
 	}
-	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", b.address)
+	nc, err := (&net.Dialer{}).DialContext(ctx, "tcp", address)
 	if err != nil {
 		return routing.Unborn, routing.Payload{}
 	}
--- a/transport/link.go
+++ b/transport/link.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"sync"
 	"time"
 )
 
@@ -14,24 +15,80 @@
 	redialMost  = 250 * time.Millisecond
 )
 
-// KeepLink holds one connection to an address, and opens it anew after every
-// break until ctx ends. opened gives the step that reads from a new one.
-func KeepLink(ctx context.Context, address string, opened func(*Conn) func(*bufio.Reader) error, closed func(error)) {
+// Link holds one connection to an address, and opens it anew after every break.
+// The address may change: the present connection goes on until the next is open.
+type Link struct {
+	opened func(*Conn) (step func(*bufio.Reader) error)
+	closed func(*Conn, error)
+
+	mu      sync.Mutex
+	address string
+	moved   chan struct{} // closed when the address changes
+}
+
+// NewLink makes a link; Run works it. opened gives the step that reads from a
+// new connection, closed is told of each one's end.
+func NewLink(address string, opened func(*Conn) (step func(*bufio.Reader) error), closed func(*Conn, error)) *Link {
+	return &Link{opened: opened, closed: closed, address: address, moved: make(chan struct{})}
+}
+
+// Move changes the address.
+func (l *Link) Move(address string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if address != l.address {
+		l.address = address
+		close(l.moved)
+		l.moved = make(chan struct{})
+	}
+}
+
+func (l *Link) target() (address string, moved <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.address, l.moved
+}
+
+// Run keeps the link until ctx ends.
+func (l *Link) Run(ctx context.Context) {
 	pause := redialFirst
+	var present *Conn
 	for ctx.Err() == nil {
+		address, moved := l.target()
 		nc, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, "tcp", address)
 		if err == nil {
 			pause = redialFirst
-			c := NewConn(nc)
-			stop := context.AfterFunc(ctx, c.Close)
-			err = c.Serve(opened(c))
-			stop()
-			closed(err)
+			if present != nil {
+				present.Close()
+			}
+			present = NewConn(nc)
+			ended := l.serve(present)
+			select {
+			case <-ctx.Done():
+			case <-moved:
+				continue
+			case <-ended:
+			}
 		}
 		select {
 		case <-ctx.Done():
+		case <-moved:
 		case <-time.After(pause):
 		}
 		pause = min(2*pause, redialMost)
 	}
+	if present != nil {
+		present.Close()
+	}
+}
+
+// serve works a connection in a goroutine of its own. The channel that it gives
+// is closed with the connection's end.
+func (l *Link) serve(c *Conn) <-chan struct{} {
+	ended, step := make(chan struct{}), l.opened(c)
+	go func() {
+		defer close(ended)
+		l.closed(c, c.Serve(step))
+	}()
+	return ended
 }
