Have connections that idle or say nothing give way when the table fills

Ruled out: memory (14 of 48 MB, level) and CPU (0.11 of a core at most).

When three quarters of the table are taken, each newcomer has the connection that has idled longest told `leaving` (ended a second later), and those cut that have said nothing for 250 ms. A message must be whole 2 s after its first byte, the first one 2 s after the connection opened. The table takes five eighths of the descriptors, since balancers may use half beside everyone else.

--- a/program/processor.go
+++ b/program/processor.go
@@ -77,7 +77,9 @@
 	}
 	trials := p.lost()
 	p.mu.Unlock()
-	log.Printf("event=processor_link_lost error=%q", errorText(err))
+	if err != nil { // else it was closed here
+		log.Printf("event=processor_link_lost error=%q", err)
+	}
 	fail(trials)
 }
 
--- a/program/program.go
+++ b/program/program.go
@@ -22,8 +22,8 @@
 	exitMargin  = 120 * time.Millisecond // before the kill, when all has been answered
 	heapShare   = 0.75                   // of the memory is for the heap
 	keysShare   = 8                      // one part in so many of the memory is for kept results
-	frontShare  = 2                      // one part in so many of the descriptors is for balancers, who keep to it
-	uwsgiShare  = 8                      // likewise for the uwsgi front, where a backend connection comes with each
+	frontShare  = 0.625                  // of the descriptors: balancers keep to a half, others don't
+	uwsgiShare  = 0.125                  // likewise for the uwsgi front, where a backend connection comes with each
 )
 
 // idleLimit holds how long connections may idle.
@@ -35,6 +35,7 @@
 // front is what the drain needs of a front.
 type front interface {
 	serve(*transport.Conn)
+	crowded()    // connections are getting scarce
 	leave()      // the notice has come: callers are told
 	refuseLate() // the grace is over
 }
@@ -81,13 +82,13 @@
 	link.core, pool.core = core, core
 	s := &Server{config: c, core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core), idle: idle}
 	s.stopIn.Store(int64(c.Stop))
-	if err := s.listen("listen", c.Listen, c.Sockets/frontShare, s.thrift); err != nil {
+	if err := s.listen("listen", c.Listen, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
 		return nil, err
 	}
 	if u != nil {
 		s.backend = newUWSGIBackend(core, u.Backend)
 		s.uwsgi = newUWSGIFront(core, s.backend, u)
-		if err := s.listen("uwsgi listen", u.Listen, c.Sockets/uwsgiShare, s.uwsgi); err != nil {
+		if err := s.listen("uwsgi listen", u.Listen, int(float64(c.Sockets)*uwsgiShare), s.uwsgi); err != nil {
 			s.doors[0].server.Close()
 			return nil, err
 		}
@@ -106,7 +107,7 @@
 }
 
 func (s *Server) listen(key, address string, limit int, f front) error {
-	server, err := transport.Listen(address, limit, f.serve)
+	server, err := transport.Listen(address, limit, f.serve, f.crowded)
 	if err != nil {
 		return fmt.Errorf("%s: %w", key, err)
 	}
@@ -159,9 +160,7 @@
 			return
 		case <-time.After(min(max(after/4, sweepLeast), sweepMost)):
 		}
-		if after < s.config.Settings.MaxIdle { // else callers close them by themselves
-			s.thrift.leaveIdle(after)
-		}
+		s.thrift.leaveIdle(after)
 	}
 }
 
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -12,7 +12,11 @@
 	"quincerail.example/quincerail/transport"
 )
 
-const maxOpen = 32 // requests on one connection
+const (
+	maxOpen      = 32                     // requests on one connection
+	thriftWithin = 2 * time.Second        // for a message to come whole, and for the first to come at all
+	crowdedAfter = 250 * time.Millisecond // that a connection is out of use, it gives way where they are scarce
+)
 
 // thriftFront is the front for the balancers' protocol.
 type thriftFront struct {
@@ -41,6 +45,7 @@
 func (f *thriftFront) serve(c *transport.Conn) {
 	t := &thriftConn{core: f.core, conn: c, open: make(map[string]int32), ids: make(map[int32]string)}
 	f.conns.add(t)
+	c.ExpectWithin(thriftWithin)
 	c.Serve(func(r *bufio.Reader) error {
 		m, err := thrift.Read(r)
 		if err != nil {
@@ -183,6 +188,13 @@
 	}
 }
 
+// left tells whether leave of the connection was taken before.
+func (t *thriftConn) left() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return !t.leaving.IsZero()
+}
+
 // idle tells whether nothing is open and nothing has moved for a time.
 func (t *thriftConn) idle(after time.Duration) bool {
 	t.mu.Lock()
@@ -197,11 +209,31 @@
 // away what comes over them.
 func (f *thriftFront) refuseLate() { f.leave() }
 
-// leaveIdle takes leave of connections that have idled for a time.
+// leaveIdle takes leave of connections that have idled for a time, and goes on
+// with the leave that was taken before.
 func (f *thriftFront) leaveIdle(after time.Duration) {
 	f.conns.each(func(t *thriftConn) {
-		if t.idle(after) {
+		if t.left() || t.idle(after) {
 			t.leave()
 		}
 	})
 }
+
+// crowded makes room: those that have said nothing end, and leave is taken of
+// the one that has idled longest. There are callers that ask once and keep their
+// connection for good.
+func (f *thriftFront) crowded() {
+	var longest *thriftConn
+	f.conns.each(func(t *thriftConn) {
+		switch {
+		case t.left() || !t.idle(crowdedAfter):
+		case !t.conn.Spoken():
+			t.conn.Cut()
+		case longest == nil || t.conn.IdleSince().Before(longest.conn.IdleSince()):
+			longest = t
+		}
+	})
+	if longest != nil {
+		longest.leave()
+	}
+}
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -194,6 +194,10 @@
 	u.conn.Close()
 }
 
+// crowded has no room to make: a connection is at work, or its time to bring a
+// request runs.
+func (f *uwsgiFront) crowded() {}
+
 // leave has nothing to say in this protocol: a connection ends with its answer.
 func (f *uwsgiFront) leave() {}
 
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -37,7 +37,9 @@
 	cut      bool      // ends at once
 	deadline time.Time // for the read; zero for none
 	woken    bool
-	last     time.Time // of the last message read or written
+	last     time.Time     // of the last message read or written
+	within   time.Duration // for a message to come whole; 0 for no limit
+	spoken   bool          // a whole message has come
 }
 
 // NewConn wraps a network connection. Serve must be called to work it.
@@ -55,7 +57,7 @@
 	}
 	if len(c.queue)+len(p) > queueLimit {
 		c.cut = true
-		c.nc.Close() // also ends a write that the peer's full window blocks
+		c.nc.Close()
 		return false
 	}
 	c.queue = append(c.queue, p...)
@@ -99,6 +101,29 @@
 	}
 }
 
+// ExpectWithin sets how long after its first byte a message must be whole; the
+// first one that long after now, so that a peer which says nothing is ended too.
+// It must be called before Serve.
+func (c *Conn) ExpectWithin(d time.Duration) {
+	c.within = d
+	c.SetReadDeadline(time.Now().Add(d))
+}
+
+// Spoken tells whether a whole message has ever come.
+func (c *Conn) Spoken() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.spoken
+}
+
+// Cut ends the connection at once.
+func (c *Conn) Cut() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.cut = true
+	c.nc.Close() // also ends a write that the peer's full window blocks
+}
+
 // IdleSince tells when a message was last read or queued.
 func (c *Conn) IdleSince() time.Time {
 	c.mu.Lock()
@@ -124,11 +149,12 @@
 			}
 			return err
 		}
-		err := step(c.r)
+		err := c.expect()
 		if err == nil {
-			c.mu.Lock()
-			c.last, c.retiring = time.Now(), false
-			c.mu.Unlock()
+			err = step(c.r)
+		}
+		if err == nil {
+			c.taken()
 			continue
 		}
 		if !errors.Is(err, os.ErrDeadlineExceeded) || c.Expired() {
@@ -139,6 +165,33 @@
 	}
 }
 
+// expect waits for a message's first byte, from which on its time counts.
+func (c *Conn) expect() error {
+	if c.within == 0 {
+		return nil
+	}
+	if _, err := c.r.Peek(1); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	waiting := !c.deadline.IsZero()
+	c.mu.Unlock()
+	if !waiting {
+		c.SetReadDeadline(time.Now().Add(c.within))
+	}
+	return nil
+}
+
+// taken takes in that a whole message has come.
+func (c *Conn) taken() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.last, c.retiring, c.spoken = time.Now(), false, true
+	if c.within > 0 {
+		c.deadline = time.Time{} // the next flush has the reads go by it
+	}
+}
+
 // retire settles what Retire has asked for.
 func (c *Conn) retire(halfRead bool) {
 	c.mu.Lock()
--- a/transport/server.go
+++ b/transport/server.go
@@ -13,6 +13,7 @@
 	listener net.Listener
 	limit    int
 	serve    func(*Conn)
+	crowded  func()
 
 	mu    sync.Mutex
 	open  int
@@ -20,14 +21,18 @@
 	shut  bool
 }
 
+// crowdedShare is the part of the limit from which on room is asked for.
+const crowdedShare = 0.75
+
 // Listen opens a listener; Run works it. Each connection gets a goroutine
-// that calls serve, at most limit at a time: more are closed unread.
-func Listen(address string, limit int, serve func(*Conn)) (*Server, error) {
+// that calls serve, at most limit at a time: more are closed unread. crowded is
+// called for each that comes when not much room is left, so as to make some.
+func Listen(address string, limit int, serve func(*Conn), crowded func()) (*Server, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("listen: %w", err)
 	}
-	return &Server{listener: l, limit: limit, serve: serve, empty: make(chan struct{})}, nil
+	return &Server{listener: l, limit: limit, serve: serve, crowded: crowded, empty: make(chan struct{})}, nil
 }
 
 // Addr is the address that is listened on.
@@ -44,7 +49,11 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		if !s.count(1) {
+		taken, crowded := s.count(1)
+		if crowded {
+			s.crowded()
+		}
+		if !taken {
 			nc.Close()
 			continue
 		}
@@ -55,17 +64,17 @@
 	}
 }
 
-// count takes in that a connection opens or ends. It reports false for one over
-// the limit.
-func (s *Server) count(change int) bool {
+// count takes in that a connection opens or ends. One over the limit is not
+// taken.
+func (s *Server) count(change int) (taken, crowded bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.open+change > s.limit {
-		return false
+	taken = s.open+change <= s.limit
+	if taken {
+		s.open += change
+		s.checkEmpty()
 	}
-	s.open += change
-	s.checkEmpty()
-	return true
+	return taken, float64(s.open) > crowdedShare*float64(s.limit)
 }
 
 // checkEmpty closes empty when the time has come. The lock is held.
