Give each ledger call a connection to itself, and drop those that fell silent

Checked: a probe of the module's books once in 300 ms. Ruled out: the module's cap (it did what it is told to), the breaker (marked failed once in 25 s), the announce service's silence.

Changed: a call takes the connection used last that is free and has not idled for 50 ms, or a new one, up to 24; beyond that they share. One on which a call was given up is spent. A run's next call never goes over the connection of its last, which guards against second and late replies. A connection that ended no longer swallows what is queued.

Conclusion: the loss was in the pool, not in the decisions. Each case of TestLedgerConnections fails without its line.

--- a/program/ledger.go
+++ b/program/ledger.go
@@ -2,8 +2,8 @@
 
 import (
 	"bufio"
-	"hash/fnv"
 	"net"
+	"slices"
 	"sync"
 	"time"
 
@@ -14,62 +14,97 @@
 )
 
 const (
-	ledgerConns  = 4
-	ledgerIdle   = 8 * time.Second // the ledger closes after 10; a call must not cross that
+	ledgerConns  = 24                    // that a call has to itself; with more in hand they are shared
+	ledgerIdle   = 50 * time.Millisecond // the ledger was seen to forget a connection after 108 ms
 	ledgerDialIn = time.Second
 )
 
-// ledgerPool makes the calls, over connections that each carry many. The calls
-// of one run go over one after the other of them, by their numbers, so that the
-// late reply to a call that was given up can't be taken for the next one's.
+// ledgerPool makes the calls. Each has a connection to itself while there are
+// not too many, because one that breaks or falls silent takes all calls on it
+// along, and nobody knows what became of them.
 type ledgerPool struct {
-	core *routing.Core
+	core    *routing.Core
+	connect func(address string) (net.Conn, error)
 
 	mu      sync.Mutex
 	address string
-	slots   [ledgerConns]*ledgerConn
+	conns   []*ledgerConn          // that calls may go over, the last used last
 	where   map[string]*ledgerConn // of the call that is out
 }
 
 // ledgerConn is one connection, which may still be dialled.
 type ledgerConn struct {
 	conn  *transport.Conn // nil until it is open
-	ended bool
-	left  bool // the ledger has moved: it ends with its last call
 	calls map[string]*ledgerCall
+	last  string // whose call it had last: a second copy of its reply may still come
+	spent bool   // it ends with its last call
 }
 
 type ledgerCall struct {
 	number int
-	wait   time.Duration
-	body   []byte
+	post   []byte
 }
 
 func newLedgerPool(address string) *ledgerPool {
-	return &ledgerPool{address: address, where: make(map[string]*ledgerConn)}
+	return &ledgerPool{address: address, where: make(map[string]*ledgerConn),
+		connect: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, ledgerDialIn) }}
 }
 
 // Call implements routing.Dependency.
 func (l *ledgerPool) Call(id string, number int, wait time.Duration, body []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	h := fnv.New32a()
-	h.Write([]byte(id))
-	slot := &l.slots[(int(h.Sum32()%ledgerConns)+number)%ledgerConns]
-	k := *slot
-	if k != nil && k.conn != nil && len(k.calls) == 0 && time.Since(k.conn.IdleSince()) > ledgerIdle {
-		k.conn.Close()
-		k = nil
+	post := ledger.AppendPost(nil, id, wait, body)
+	k := l.pick(id)
+	for k != nil && k.conn != nil && !k.conn.Send(post) { // it has just ended
+		l.spend(k)
+		k = l.pick(id)
 	}
-	if k == nil || k.ended {
+	if k == nil {
 		k = &ledgerConn{calls: make(map[string]*ledgerCall)}
-		*slot = k
+		l.conns = append(l.conns, k)
 		go l.open(k)
 	}
-	k.calls[id] = &ledgerCall{number, wait, body}
+	k.last = id
+	k.calls[id] = &ledgerCall{number, post}
 	l.where[id] = k
-	if k.conn != nil {
-		k.conn.Send(ledger.AppendPost(nil, id, wait, body))
+}
+
+// pick chooses a connection for a call, nil for a new one. It passes over the
+// one that the run called over before, so that a late or second reply can't be
+// taken for that to this call. The lock is held.
+func (l *ledgerPool) pick(id string) *ledgerConn {
+	l.conns = slices.DeleteFunc(l.conns, func(k *ledgerConn) bool {
+		stale := len(k.calls) == 0 && time.Since(k.conn.IdleSince()) > ledgerIdle
+		if stale { // the ledger may have forgotten it: a call would be lost
+			k.conn.Close()
+		}
+		return stale
+	})
+	var least *ledgerConn
+	for _, k := range slices.Backward(l.conns) {
+		if k.last != id && (least == nil || len(k.calls) < len(least.calls)) {
+			least = k
+		}
+	}
+	if least != nil && len(least.calls) > 0 && len(l.conns) < ledgerConns {
+		return nil
+	}
+	return least
+}
+
+// spend has a connection take no more calls, and end with its last one. The lock
+// is held.
+func (l *ledgerPool) spend(k *ledgerConn) {
+	k.spent = true
+	l.conns = slices.DeleteFunc(l.conns, func(o *ledgerConn) bool { return o == k })
+	k.settle()
+}
+
+// settle ends a spent connection once nothing is out on it. The lock is held.
+func (k *ledgerConn) settle() {
+	if k.spent && k.conn != nil && len(k.calls) == 0 {
+		k.conn.Close()
 	}
 }
 
@@ -82,29 +117,18 @@
 		return
 	}
 	l.address = address
-	for i, k := range l.slots {
-		if k != nil {
-			k.left = true
-			k.closeLeft()
-			l.slots[i] = nil
-		}
+	for _, k := range slices.Clone(l.conns) {
+		l.spend(k)
 	}
 }
 
-// closeLeft ends a connection to an address that was left, once nothing is out
-// on it. The lock is held.
-func (k *ledgerConn) closeLeft() {
-	if k.left && k.conn != nil && len(k.calls) == 0 {
-		k.conn.Close()
-	}
-}
-
-// Abandon implements routing.Dependency.
+// Abandon implements routing.Dependency. A connection on which a call was given
+// up may have fallen silent for good, so it is spent.
 func (l *ledgerPool) Abandon(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.where[id]
-	if k == nil || k.calls[id] == nil {
+	if k == nil {
 		return
 	}
 	delete(k.calls, id)
@@ -112,7 +136,7 @@
 	if k.conn != nil {
 		k.conn.Send(ledger.AppendAbandon(nil, id))
 	}
-	k.closeLeft()
+	l.spend(k)
 }
 
 // open dials a connection and works it until it ends. Calls that never left
@@ -125,10 +149,10 @@
 	}
 	l.mu.Lock()
 	k.conn = transport.NewConn(nc)
-	for id, call := range k.calls {
-		k.conn.Send(ledger.AppendPost(nil, id, call.wait, call.body))
+	for _, call := range k.calls {
+		k.conn.Send(call.post)
 	}
-	k.closeLeft()
+	k.settle()
 	l.mu.Unlock()
 	k.conn.Serve(func(r *bufio.Reader) error {
 		reply, err := ledger.Read(r)
@@ -147,7 +171,7 @@
 		l.mu.Lock()
 		address := l.address
 		l.mu.Unlock()
-		nc, err := net.DialTimeout("tcp", address, ledgerDialIn)
+		nc, err := l.connect(address)
 		l.mu.Lock()
 		moved := address != l.address
 		l.mu.Unlock()
@@ -162,13 +186,14 @@
 	call := k.calls[reply.ID]
 	if call != nil {
 		delete(k.calls, reply.ID)
-		if l.where[reply.ID] == k {
-			delete(l.where, reply.ID)
+		delete(l.where, reply.ID)
+		k.settle()
+		if i := slices.Index(l.conns, k); i >= 0 {
+			l.conns = append(slices.Delete(l.conns, i, i+1), k)
 		}
 	}
-	k.closeLeft()
 	l.mu.Unlock()
-	if call == nil { // to a call that was given up
+	if call == nil { // to a call that was given up, a second copy, or to nobody's
 		return
 	}
 	end := map[ledger.Status]routing.CallEnd{ledger.Posted: policy.OK, ledger.QueueFull: policy.Full,
@@ -178,13 +203,11 @@
 
 func (l *ledgerPool) end(k *ledgerConn, end routing.CallEnd) {
 	l.mu.Lock()
-	k.ended = true
+	l.spend(k)
 	calls := k.calls
 	k.calls = make(map[string]*ledgerCall)
 	for id := range calls {
-		if l.where[id] == k {
-			delete(l.where, id)
-		}
+		delete(l.where, id)
 	}
 	l.mu.Unlock()
 	for id, call := range calls {
--- a/program/links_test.go
+++ b/program/links_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"slices"
 	"strconv"
@@ -306,48 +307,142 @@
 	}
 }
 
-// TestLedgerCallsTakeTurns guards against a late reply being taken for that to
-// the next call of the same run: the next one is on another connection, whatever
-// other runs have called meanwhile.
-func TestLedgerCallsTakeTurns(t *testing.T) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+// books is the ledger's side of a pool: what is posted, and over which connection.
+type books struct {
+	pool  *ledgerPool
+	posts chan post
+	conns int
+}
+
+type post struct {
+	id   string
+	conn int
+	net.Conn
+}
+
+func newBooks(t *testing.T) *books {
+	b := &books{pool: newLedgerPool(""), posts: make(chan post, 100)}
+	b.pool.core = newCore(t, routing.Options{})
+	b.pool.connect = func(string) (net.Conn, error) {
+		near, far := net.Pipe()
+		b.conns++
+		go b.read(far, b.conns)
+		return near, nil
 	}
-	defer l.Close()
-	posts := make(chan string, 100) // each with the connection that it came over
-	go func() {
-		for nc, err := l.Accept(); err == nil; nc, err = l.Accept() {
-			go func() {
-				defer nc.Close()
-				r := bufio.NewReader(nc)
-				for {
-					words, _, err := lines.Read(r, func(w []string) bool { return w[0] == "post" })
-					if err != nil {
-						return
-					}
-					if words[0] == "post" {
-						posts <- words[1] + " " + nc.RemoteAddr().String()
-					}
+	return b
+}
+
+func (b *books) read(far net.Conn, conn int) {
+	defer far.Close()
+	r := bufio.NewReader(far)
+	for {
+		words, _, err := lines.Read(r, func(w []string) bool { return w[0] == "post" })
+		if err != nil {
+			return
+		}
+		if words[0] == "post" {
+			b.posts <- post{words[1], conn, far}
+		}
+	}
+}
+
+// call makes a call that comes out at the ledger.
+func (b *books) call(id string, number int) post {
+	b.pool.Call(id, number, time.Second, nil)
+	synctest.Wait()
+	return <-b.posts
+}
+
+// reply answers a call, with a number of copies.
+func (p post) reply(copies int) {
+	p.Write([]byte(strings.Repeat(p.id+" posted 2\r\nok\r\n", copies)))
+	synctest.Wait()
+}
+
+// end ends all connections.
+func (b *books) end() {
+	b.pool.move("elsewhere")
+	b.pool.mu.Lock()
+	ids := slices.Collect(maps.Keys(b.pool.where))
+	b.pool.mu.Unlock()
+	for _, id := range ids {
+		b.pool.Abandon(id)
+	}
+	time.Sleep(time.Second)
+}
+
+// TestLedgerConnections sees over which connection a call goes. None may share
+// one that breaks or falls silent with it, as long as they are few; a late or
+// second reply must not be taken for that to the run's next call; and the ledger
+// forgets connections that idle.
+func TestLedgerConnections(t *testing.T) {
+	for name, play := range map[string]func(b *books) (first, second post){
+		"used again": func(b *books) (first, second post) {
+			first = b.call("a", 1)
+			first.reply(1)
+			return first, b.call("b", 1)
+		},
+		"at once": func(b *books) (first, second post) {
+			return b.call("a", 1), b.call("b", 1)
+		},
+		"silent": func(b *books) (first, second post) {
+			first = b.call("a", 1)
+			b.pool.Abandon("a")
+			return first, b.call("b", 1)
+		},
+		"second copy": func(b *books) (first, second post) {
+			first = b.call("a", 1)
+			first.reply(2)
+			return first, b.call("a", 2)
+		},
+		"idle": func(b *books) (first, second post) {
+			first = b.call("a", 1)
+			first.reply(1)
+			time.Sleep(ledgerIdle + time.Millisecond)
+			return first, b.call("b", 1)
+		},
+		"closed while idle": func(b *books) (first, second post) {
+			first = b.call("a", 1)
+			first.reply(1)
+			first.Close()
+			synctest.Wait()
+			return first, b.call("b", 1)
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				b := newBooks(t)
+				defer b.end()
+				first, second := play(b)
+				if same := first.conn == second.conn; same != (name == "used again") {
+					t.Errorf("connections %d and %d", first.conn, second.conn)
 				}
-			}()
+			})
+		})
+	}
+}
+
+// TestLedgerShared sees that no more than so many connections are opened, and
+// that a late reply can't be taken for that to the next call even then.
+func TestLedgerShared(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := newBooks(t)
+		defer b.end()
+		for i := range 2 * ledgerConns {
+			b.call(fmt.Sprint("other", i), 1)
 		}
-	}()
-	pool := newLedgerPool(l.Addr().String())
-	last := ""
-	for number := 1; number <= 8; number++ {
-		for other := range number {
-			pool.Call(fmt.Sprint("other", number, other), 1, time.Second, nil)
-			<-posts
+		if b.conns != ledgerConns {
+			t.Errorf("%d connections for %d calls", b.conns, 2*ledgerConns)
 		}
-		pool.Call("r", number, time.Second, nil)
-		post := <-posts
-		if post == last {
-			t.Errorf("call %d comes over the same connection as the one before", number)
+		for number, last := 1, 0; number <= 8; number++ {
+			p := b.call("r", number)
+			if p.conn == last {
+				t.Errorf("call %d comes over the same connection as the one before", number)
+			}
+			last = p.conn
+			b.pool.Abandon("r")
 		}
-		last = post
-		pool.Abandon("r")
-	}
+	})
 }
 
 // TestLedgerRefused sees that a refused connection counts as a call that never
@@ -392,10 +487,6 @@
 // for where it was made, that the next one goes to the new address, and that the
 // old connection then ends.
 func TestLedgerMoves(t *testing.T) {
-	type post struct {
-		id   string
-		conn net.Conn
-	}
 	posts, ended := make(chan post, 2), make(chan net.Conn, 2)
 	listen := func() net.Listener {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -412,7 +503,7 @@
 							ended <- nc
 							return
 						}
-						posts <- post{words[1], nc}
+						posts <- post{words[1], 0, nc}
 					}
 				}()
 			}
@@ -436,16 +527,16 @@
 	pool.move(second.Addr().String())
 	first.Close()
 	b := call("b")
-	if b.conn.LocalAddr().String() != second.Addr().String() {
-		t.Errorf("the call after the move comes to %s", b.conn.LocalAddr())
+	if b.LocalAddr().String() != second.Addr().String() {
+		t.Errorf("the call after the move comes to %s", b.LocalAddr())
 	}
 	for _, p := range []post{a, b} {
-		fmt.Fprintf(p.conn, "%s posted 2\r\nok\r\n", p.id)
+		fmt.Fprintf(p, "%s posted 2\r\nok\r\n", p.id)
 		if answer := <-got; answer != fmt.Sprint(p.id, " ", routing.Served) {
 			t.Errorf("answer %s", answer)
 		}
 	}
-	if nc := <-ended; nc != a.conn {
+	if nc := <-ended; nc != a.Conn {
 		t.Error("the connection that ends is not the old one")
 	}
 }
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -141,7 +141,7 @@
 // resumable: it peeks, and discards once whole. The connection is closed when
 // Serve returns.
 func (c *Conn) Serve(step func(r *bufio.Reader) error) error {
-	defer c.nc.Close()
+	defer c.Cut()
 	for {
 		if done, err := c.flush(); done || err != nil {
 			if err == nil {
