Keep bad callers from taking back, sharing or discrediting others' requests

Lines at fault: routing/admit.go Gone looked an attempt up by id alone; keys.go entries knew no body; takein.go passed any door on, and policy's lag learns from it; program/processor.go took a rejected begin for a run that ended badly.

Changed: Gone names the sink that handed the request in. An entry keeps a seeded hash of the body; another body, like an open id, is Rejected: an application exception, or 400. What is past its time when it is read is answered, unheard by the module; a door over 5 s ahead is malformed. A rejected begin never ran: its key is free, and it is no failure. It also writes no log line. The module forgets callers also where there is no credit to share: with ever new balancer numbers the list grew for good, and each request looked through it (TestCallersAreForgotten: 1000 before, under 100).

The suite plays a key of another request against both protocols.

--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -19,7 +19,7 @@
 
 // Outcome is what a caller was told.
 type Outcome struct {
-	Kind string // served, refused, failed
+	Kind string // served, refused, failed, rejected
 	Body string // served
 }
 
@@ -125,6 +125,8 @@
 			}
 		case 502, 504:
 			return Outcome{Kind: "failed"}, nil
+		case 400:
+			return Outcome{Kind: "rejected"}, nil
 		}
 		return Outcome{}, fmt.Errorf("status %d", resp.Status)
 	}
@@ -196,7 +198,9 @@
 // Outcome says what an execute's reply means.
 func (r Reply) Outcome() Outcome {
 	switch {
-	case r.Type == thrift.Exception || r.Which == 2:
+	case r.Type == thrift.Exception:
+		return Outcome{Kind: "rejected"}
+	case r.Which == 2:
 		return Outcome{Kind: "failed"}
 	case r.Which == 1:
 		return Outcome{Kind: "refused"}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -960,11 +960,11 @@
 	in.pressure += (in.pressed - in.pressure) * min(1, float64(in.gap)/float64(smooth))
 	in.pressed = in.chance(&request{arrived: math.MaxInt64}) // of one that would run last
 	value, full := in.said, 1.0
+	in.heard = slices.DeleteFunc(in.heard, func(c caller) bool { return c.at < in.now-in.set.Heeded })
 	switch in.set.Say {
 	case SayRank:
 		value = in.pressure
 	case SayCredit: // heeded by those that heard it of late, each to its own even part
-		in.heard = slices.DeleteFunc(in.heard, func(c caller) bool { return c.at < in.now-in.set.Heeded })
 		full = in.crowdLimit() / float64(max(1, len(in.heard)))
 		value = full * (1 - in.pressure*(1-leastShare))
 	case SayWeight:
--- a/policy/told_test.go
+++ b/policy/told_test.go
@@ -34,6 +34,20 @@
 	}
 }
 
+// Callers that restart come with new numbers: remembered for good where there is no
+// credit to share, they grew without end, and each request looked through them all.
+func TestCallersAreForgotten(t *testing.T) {
+	in, _ := start(t, settings())
+	for i := range 1000 {
+		now := time.Duration(i) * in.gap
+		in.Request(now, Request{ID: string(rune('a' + i)), From: i, HeldKB: 1})
+		in.Tick(now, 0, Gauges{CoreUse: 0.5, OnCores: 1})
+	}
+	if len(in.heard) > 100 {
+		t.Errorf("%d callers are remembered", len(in.heard))
+	}
+}
+
 // In a storm of tries from many callers a handshake for each took two thirds of the
 // cores: a full table turns such tries away unread. It is kept until the storm is over.
 func TestConnectionsAreKeptThroughAStormOfTries(t *testing.T) {
--- a/program/links_test.go
+++ b/program/links_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -209,19 +210,34 @@
 	})
 }
 
+// health remembers what a core last said of itself.
+type health struct{ on atomic.Bool }
+
+// Accepting implements routing.Presence.
+func (h *health) Accepting(on bool) { h.on.Store(on) }
+
 // TestProcessorReject sees that a begin which was not carried out fails its
-// request at once.
+// request at once, and that such requests, which only a bad client sends, don't
+// make the server take its own runs for bad.
 func TestProcessorReject(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		link := newProcessorLink("", nil)
-		link.core = newCore(t, routing.Options{Backend: link, Machine: link})
+		self := &health{}
+		link.core = newCore(t, routing.Options{Backend: link, Machine: link, Presence: self})
 		e := &engine{t: t, link: link}
 		e.open()
 		got := make(answers, 1)
-		submit(t, link.core, "r0", "kampanjsida", got)
-		fmt.Fprint(e.far, "reject begin r0\r\n")
-		if a := <-got; a != fmt.Sprint("r0 ", routing.Failed) {
-			t.Errorf("answer %s", a)
+		for i := range 12 {
+			id := fmt.Sprint("r", i)
+			submit(t, link.core, id, "kampanjsida", got)
+			fmt.Fprintf(e.far, "reject begin %s\r\n", id)
+			if a := <-got; a != fmt.Sprint(id, " ", routing.Failed) {
+				t.Errorf("answer %s", a)
+			}
+		}
+		time.Sleep(time.Second)
+		if !self.on.Load() {
+			t.Error("it takes itself for sick")
 		}
 		e.cut()
 	})
--- a/program/processor.go
+++ b/program/processor.go
@@ -173,9 +173,10 @@
 			tell = func() { reply(n.Word == "good") }
 		}
 	case processor.Reject:
-		log.Printf("event=processor_reject command=%s id=%s", n.Word, n.ID)
-		if n.Word == "begin" {
-			tell = func() { p.core.Completed(n.ID, routing.Bad, 0, routing.Payload{}) }
+		if n.Word != "begin" {
+			log.Printf("event=processor_reject command=%s id=%s", n.Word, n.ID)
+		} else { // nothing ran: neither does the key count as used, nor the run as one that failed
+			tell = func() { p.core.Completed(n.ID, routing.Unborn, 0, routing.Payload{}) }
 		}
 	}
 	p.mu.Unlock()
--- a/program/suite_test.go
+++ b/program/suite_test.go
@@ -164,6 +164,13 @@
 		b := outcome(t, f.ask(t, w, "ny-gava", "k4", "fail gift"))
 		return fmt.Sprintf("%s, %s, %d run", say(a), say(b), w.work.Runs("fail gift"))
 	}},
+	{"key of another request", nil, "served done: gift, rejected, served done: gift, 1 run, 0 others",
+		func(t *testing.T, w *world, f front) string {
+			a := outcome(t, f.ask(t, w, "ny-gava", "k6", "gift"))
+			b := outcome(t, f.ask(t, w, "ny-gava", "k6", "more"))
+			c := outcome(t, f.ask(t, w, "ny-gava", "k6", "gift"))
+			return fmt.Sprintf("%s, %s, %s, %d run, %d others", say(a), say(b), say(c), w.work.Runs("gift"), w.work.Runs("more"))
+		}},
 	// What runs at the notice is served, what comes whole within the grace too;
 	// what was half read at the notice and comes whole after it never runs.
 	{"drain", shortGrace, "served done: running, served done: early, refused, 0 late runs, drained",
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -15,6 +15,7 @@
 const (
 	maxOpen      = 32                     // requests on one connection
 	thriftWithin = 2 * time.Second        // for a message to come whole, and for the first to come at all
+	doorAhead    = 5 * time.Second        // that a caller's clock may be ahead of this one
 	crowdedAfter = 250 * time.Millisecond // that a connection is out of use, it gives way where they are scarce
 )
 
@@ -61,7 +62,7 @@
 	}
 	t.mu.Unlock()
 	for _, id := range ids {
-		t.core.Gone(id)
+		t.core.Gone(id, t)
 	}
 }
 
@@ -87,7 +88,7 @@
 		t.close(id, m.Target)
 		t.mu.Unlock()
 		if ok {
-			t.core.Gone(id)
+			t.core.Gone(id, t)
 		}
 	case m.Type == thrift.Call:
 		t.conn.Send(thrift.AppendException(nil, m.Name, m.Seq, thrift.UnknownMethod, "unknown method"))
@@ -101,7 +102,7 @@
 		return m.Err
 	}
 	door, err := strconv.ParseInt(m.Fields["door"], 10, 64)
-	if err != nil || door < 0 || door > 1e15 {
+	if err != nil || door < 0 || time.Until(time.UnixMilli(door)) > doorAhead {
 		return fmt.Errorf("door %q", m.Fields["door"])
 	}
 	ram, err := strconv.ParseFloat(m.Fields["ram"], 64)
@@ -164,6 +165,8 @@
 			fields["giveup"] = "1"
 		}
 		t.conn.Send(thrift.AppendShed(nil, seq, fields))
+	case routing.Rejected:
+		t.conn.Send(thrift.AppendException(nil, "execute", seq, thrift.ProtocolError, "id or key of another request"))
 	default:
 		t.conn.Send(thrift.AppendFault(nil, seq, nil))
 	}
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -73,7 +73,7 @@
 	id, answered := u.id, u.closing
 	u.mu.Unlock()
 	if id != "" && !answered {
-		f.core.Gone(id)
+		f.core.Gone(id, u)
 	}
 }
 
--- a/protocol/httpresult/httpresult.go
+++ b/protocol/httpresult/httpresult.go
@@ -44,6 +44,8 @@
 		return http.StatusServiceUnavailable
 	case routing.TimedOut:
 		return http.StatusGatewayTimeout
+	case routing.Rejected:
+		return http.StatusBadRequest
 	}
 	return http.StatusBadGateway
 }
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"hash/maphash"
 	"time"
 
 	"quincerail.example/quincerail/policy"
@@ -11,7 +12,12 @@
 func (c *Core) admit(a *attempt) {
 	earlier := ""
 	if a.Key != "" {
-		earlier = c.keys.enter(a)
+		body := maphash.Bytes(c.bodies, a.Payload.Body)
+		if !c.keys.matches(a.Key, body, a.door) { // its result is not for this caller
+			c.book(a, Outcome{Kind: Rejected})
+			return
+		}
+		earlier = c.keys.enter(a, body)
 	}
 	c.module.Request(c.now, policy.Request{
 		ID: a.ID, Class: a.class, Key: a.Item, HeldKB: a.HeldKB, Rank: a.Rank, From: a.Caller,
@@ -19,11 +25,12 @@
 	})
 }
 
-// Gone tells that a caller no longer waits for a request. No answer is owed.
-func (c *Core) Gone(id string) {
+// Gone tells that a caller no longer waits for the request that it handed in with
+// a sink. No answer is owed. The sink keeps others from taking it back by its id.
+func (c *Core) Gone(id string, s Sink) {
 	c.post(func() {
 		a := c.attempts[id]
-		if a == nil || a.answered {
+		if a == nil || a.answered || a.Sink != s {
 			return
 		}
 		a.answered = true
--- a/routing/core.go
+++ b/routing/core.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"hash/maphash"
 	"log"
 	"time"
 
@@ -47,7 +48,8 @@
 	now       time.Duration // Unix time of the batch
 	attempts  map[string]*attempt
 	keys      *keyTable
-	followUps []func() // events that the module's own actions bring
+	followUps []func()     // events that the module's own actions bring
+	bodies    maphash.Seed // tells the bodies of one key apart
 	gauges    policy.Gauges
 	fit       bool // health as the module sets it
 	stored    bool // checks are answered from it alone
@@ -58,7 +60,7 @@
 // New makes a core. The error names the setting that makes no sense.
 func New(opt Options) (*Core, error) {
 	c := &Core{opt: opt, classes: make(map[string]int), events: make(chan func(), mailbox),
-		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true,
+		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true, bodies: maphash.MakeSeed(),
 		gauges: policy.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}}
 	// What comes in the last moments of the grace, as it is seen here, may have
 	// come after it as the sender of the notice sees it.
--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -187,7 +187,7 @@
 		p.submit(t, "a", "read", "")
 		p.complete("a", Good, "page")
 		p.complete("a", Good, "page again")
-		p.Gone("a")
+		p.Gone("a", sink{p})
 		p.wait()
 		p.wantAnswer(t, "a", Served, "page")
 	})
@@ -215,7 +215,7 @@
 func TestKeyAfterCut(t *testing.T) {
 	bubble(t, func(t *testing.T, p *party) {
 		p.submit(t, "a", "gift", "k")
-		p.Gone("a")
+		p.Gone("a", sink{p})
 		p.wait()
 		p.sleep(testWindow - time.Second)
 		p.submit(t, "b", "gift", "k")
@@ -257,6 +257,62 @@
 	})
 }
 
+// TestForeignID guards a request against others that use its id while it is open:
+// they are rejected, and can't take it back.
+func TestForeignID(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.submit(t, "a", "gift", "k")
+		other := sink{&party{answers: make(map[string][]Outcome), answered: make(map[string]time.Time)}}
+		p.Submit(Request{ID: "a", Class: "read", Door: time.Now(), HeldKB: 20, Sink: other})
+		p.Gone("a", other)
+		p.wait()
+		other.wantAnswer(t, "a", Rejected, "")
+		if len(p.stopped) > 0 {
+			t.Error("another caller has stopped its run")
+		}
+		p.complete("a", Good, "thanks")
+		p.wantAnswer(t, "a", Served, "thanks")
+	})
+}
+
+// TestKeyWithAnotherBody guards a keyed result against callers that come with its
+// key and something else: it is not theirs, and what they bring never runs.
+func TestKeyWithAnotherBody(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		try := func(id, body string) {
+			p.Submit(Request{ID: id, Class: "gift", Key: "k", Door: time.Now(), HeldKB: 20, Sink: sink{p},
+				Payload: Payload{Body: []byte(body)}})
+			p.wait()
+		}
+		try("a", "10 kr")
+		try("b", "20 kr")
+		p.wantAnswer(t, "b", Rejected, "")
+		p.complete("a", Good, "thanks")
+		try("c", "20 kr")
+		p.wantAnswer(t, "c", Rejected, "")
+		try("d", "10 kr")
+		p.wantAnswer(t, "d", Served, "thanks")
+		p.sleep(testWindow + time.Second)
+		try("e", "20 kr") // the window is over: it is a request of its own
+		p.complete("e", Good, "thanks again")
+		p.wantAnswer(t, "e", Served, "thanks again")
+	})
+}
+
+// TestOldDoor guards the server's view of its own health against a door that
+// makes no sense: one such request made reads seem late by years, and the server
+// leave the list.
+func TestOldDoor(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.Submit(Request{ID: "a", Class: "read", Door: time.UnixMilli(1), HeldKB: 20, Sink: sink{p}})
+		p.sleep(time.Second)
+		p.wantAnswer(t, "a", TimedOut, "")
+		if !p.present[len(p.present)-1] {
+			t.Error("it takes itself for sick")
+		}
+	})
+}
+
 func TestKeyIsOfItsClass(t *testing.T) {
 	bubble(t, func(t *testing.T, p *party) {
 		p.submit(t, "a", "gift", "k")
@@ -320,7 +376,7 @@
 	var first *entry
 	for i := range 8 {
 		a := &attempt{Request: Request{ID: fmt.Sprint(i), Key: fmt.Sprint("k", i)}}
-		table.enter(a)
+		table.enter(a, 0)
 		table.claim(a, testWindow)
 		table.store(a.entry, Payload{Body: make([]byte, entryBytes)})
 		if i == 0 {
@@ -374,7 +430,7 @@
 			case 4:
 				if x := tries[id]; x != nil && len(p.answers[id]) == 0 {
 					x.gone = true
-					p.Gone(id)
+					p.Gone(id, sink{p})
 				}
 			case 5:
 				if runs {
--- a/routing/keys.go
+++ b/routing/keys.go
@@ -14,6 +14,7 @@
 // entry is what the table keeps of a key.
 type entry struct {
 	key    string
+	body   uint64 // hash of what all tries of the request bring
 	holder string // id of the try that is held or runs
 	ran    string // id of the try that was run
 	till   time.Duration
@@ -43,15 +44,23 @@
 // full tells whether there is no room for a further key, even without results.
 func (t *keyTable) full() bool { return t.most > 0 && len(t.entries)*entryBytes > t.most }
 
+// matches tells whether a try with that body may go by the key: all tries of one
+// request bring the same.
+func (t *keyTable) matches(key string, body uint64, door time.Duration) bool {
+	e := t.entries[key]
+	return e == nil || e.body == body || e.live == 0 && !e.ranFor(door)
+}
+
 // enter links a new try to its key and names the try that it repeats: one that
 // has run within the window, or one that is still held.
-func (t *keyTable) enter(a *attempt) (earlier string) {
+func (t *keyTable) enter(a *attempt, body uint64) (earlier string) {
 	e := t.entries[a.Key]
 	if e == nil {
 		e = &entry{key: a.Key, over: true}
 		t.entries[a.Key] = e
 		t.bytes += entryBytes
 	}
+	e.body = body
 	a.entry = e
 	e.live++
 	if e.ranFor(a.door) {
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -35,7 +35,7 @@
 	Class   string    // by its name in the settings
 	Key     string    // keyed classes: the same for all tries of one request
 	Item    string    // what a read is about; may be empty
-	Door    time.Time // when it came to the machine
+	Door    time.Time // when it came to the machine; what is past its time then is only answered
 	Caller  int
 	HeldKB  float64 // memory that it takes while held
 	Rank    float64 // 0 to 1, by worth
@@ -53,6 +53,7 @@
 	Refused             // this try never ran, or may be repeated freely
 	Failed
 	TimedOut // failed because its time is over
+	Rejected // never run: its id is open, or its key is another request's
 )
 
 // Outcome is a request's final answer.
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -53,8 +53,8 @@
 }
 
 func (c *Core) takeIn(r Request, class int) {
-	if c.attempts[r.ID] != nil { // ids never return: this is a front's mistake, and it owes an answer
-		r.Sink.Answer(r.ID, Outcome{Kind: Failed})
+	if c.attempts[r.ID] != nil { // ids never return
+		r.Sink.Answer(r.ID, Outcome{Kind: Rejected})
 		return
 	}
 	a := &attempt{Request: r, class: class, door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
@@ -65,6 +65,12 @@
 		a.backend = c.opt.Backend
 	}
 	c.attempts[r.ID] = a
+	// The module takes how long a request has waited for how late reads are, and a
+	// server whose reads are late for sick. A door that makes no sense must not.
+	if c.now > a.due {
+		c.book(a, Outcome{Kind: TimedOut})
+		return
+	}
 	if c.module == nil { // nothing can run yet, or ever
 		c.book(a, Outcome{Kind: Refused, Later: c.opt.Settings.MaxAdvice})
 		return
