Let a keyed run go on when its caller's connection ends

Checked: routing/admit.go Gone, which program/thrift.go called for every open request of a connection that ended, has the module halt the run. A gift that was cut may have had its effect, so its repeats are answered Fault for the rest of the window, at a server that could have had the result a moment later.

Changed: Core.Lost, for a connection that ended, lets a begun keyed run go on; its repeats join it or get the stored result, and the module still stops it at its due time. What a caller takes back in so many words is stopped as before.

The suite plays it against both protocols.

--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -63,6 +63,9 @@
 // GiveUp tells, in the way of the protocol, that nobody waits any more.
 func (t *Try) GiveUp() { t.gone(t.conn) }
 
+// Break ends the connection without a word.
+func (t *Try) Break() { t.conn.Close() }
+
 func try(address string, request []byte) (*Try, error) {
 	nc, err := net.Dial("tcp", address)
 	if err != nil {
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -137,7 +137,7 @@
 		case o := <-answer:
 			respond(w, o)
 		case <-r.Context().Done():
-			m.core.Gone(id, answer)
+			m.core.Lost(id, answer)
 		case <-m.core.Done():
 			select {
 			case o := <-answer: // it came just before the end
--- a/program/suite_test.go
+++ b/program/suite_test.go
@@ -164,6 +164,14 @@
 		b := outcome(t, f.ask(t, w, "ny-gava", "k4", "fail gift"))
 		return fmt.Sprintf("%s, %s, %d run", say(a), say(b), w.work.Runs("fail gift"))
 	}},
+	{"connection lost", nil, "served done: gift, 1 run", func(t *testing.T, w *world, f front) string {
+		w.work.Took = 200 * time.Millisecond
+		lost := f.ask(t, w, "ny-gava", "k7", "gift")
+		<-w.work.Begun()
+		lost.Break()
+		o := outcome(t, f.ask(t, w, "ny-gava", "k7", "gift"))
+		return fmt.Sprintf("%s, %d run", say(o), w.work.Runs("gift"))
+	}},
 	{"key of another request", nil, "served done: gift, rejected, served done: gift, 1 run, 0 others",
 		func(t *testing.T, w *world, f front) string {
 			a := outcome(t, f.ask(t, w, "ny-gava", "k6", "gift"))
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -49,7 +49,7 @@
 	return &thriftFront{core: core, conns: newRegistry[*thriftConn]()}
 }
 
-// serve works one connection. Requests still open when it ends have no caller.
+// serve works one connection. Requests still open when it ends have lost their caller.
 func (f *thriftFront) serve(c *transport.Conn) {
 	t := &thriftConn{core: f.core, conn: c, open: make(map[string]int32), ids: make(map[int32]string)}
 	f.conns.add(t)
@@ -69,7 +69,7 @@
 	}
 	t.mu.Unlock()
 	for _, id := range ids {
-		t.core.Gone(id, t)
+		t.core.Lost(id, t)
 	}
 }
 
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -62,7 +62,7 @@
 	late    bool   // the grace of a drain is over: what is not read by now is turned away
 }
 
-// serve works one connection. If it ends before the answer, the caller is gone.
+// serve works one connection. If it ends before the answer, the caller is lost.
 func (f *uwsgiFront) serve(c *transport.Conn) {
 	u := &uwsgiConn{front: f, conn: c, decoder: uwsgi.Decoder{MaxBody: f.now.Load().MaxBody}}
 	f.conns.add(u)
@@ -73,7 +73,7 @@
 	id, answered := u.id, u.closing
 	u.mu.Unlock()
 	if id != "" && !answered {
-		f.core.Gone(id, u)
+		f.core.Lost(id, u)
 	}
 }
 
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -29,18 +29,44 @@
 // a sink. No answer is owed. The sink keeps others from taking it back by its id.
 func (c *Core) Gone(id string, s Sink) {
 	c.post(func() {
-		a := c.attempts[id]
-		if a == nil || a.answered || a.Sink != s {
-			return
+		if a := c.waiting(id, s); a != nil {
+			c.gone(a)
 		}
-		a.answered = true
-		if c.module != nil {
-			c.module.Gone(c.now, id)
+	})
+}
+
+// Lost tells that the caller's connection has ended. No answer is owed, but it may
+// ask again: a keyed run goes on, so that there is a result for it then, as it
+// must not run a second time.
+func (c *Core) Lost(id string, s Sink) {
+	c.post(func() {
+		a := c.waiting(id, s)
+		switch {
+		case a == nil:
+		case a.entry != nil && a.begun:
+			a.answered = true // the module hears of its end as of any run's
+		default:
+			c.gone(a)
 		}
-		c.release(a)
 	})
 }
 
+// waiting gives the attempt that was handed in with a sink, if it has no answer.
+func (c *Core) waiting(id string, s Sink) *attempt {
+	if a := c.attempts[id]; a != nil && !a.answered && a.Sink == s {
+		return a
+	}
+	return nil
+}
+
+func (c *Core) gone(a *attempt) {
+	a.answered = true
+	if c.module != nil {
+		c.module.Gone(c.now, a.ID)
+	}
+	c.release(a)
+}
+
 // host carries out the module's actions.
 type host struct{ *Core }
 
--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -257,6 +257,36 @@
 	})
 }
 
+// TestLostCaller sees that a keyed run goes on when its caller's connection ends,
+// for the caller may ask again and it must not run twice, and that other work stops.
+func TestLostCaller(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.submit(t, "a", "gift", "k")
+		p.submit(t, "b", "read", "")
+		p.Lost("a", sink{p})
+		p.Lost("b", sink{p})
+		p.wait()
+		if len(p.stopped) != 1 || p.stopped[0] != "b" {
+			t.Errorf("stopped %v, want only b", p.stopped)
+		}
+		p.submit(t, "c", "gift", "k")
+		p.complete("a", Good, "thanks")
+		p.submit(t, "d", "gift", "k")
+		for _, id := range []string{"c", "d"} {
+			p.wantAnswer(t, id, Served, "thanks")
+		}
+		if len(p.answers["a"]) > 0 {
+			t.Errorf("the lost one is answered %v", p.answers["a"])
+		}
+		p.submit(t, "e", "gift", "k2")
+		p.Lost("e", sink{p})
+		p.sleep(testDeadline + testSlack)
+		if len(p.stopped) != 2 || p.stopped[1] != "e" {
+			t.Errorf("stopped %v, want e when its time is over", p.stopped)
+		}
+	})
+}
+
 // TestForeignID guards a request against others that use its id while it is open:
 // they are rejected, and can't take it back.
 func TestForeignID(t *testing.T) {
@@ -430,7 +460,11 @@
 			case 4:
 				if x := tries[id]; x != nil && len(p.answers[id]) == 0 {
 					x.gone = true
-					p.Gone(id, sink{p})
+					if s.Pick(2) == 0 {
+						p.Gone(id, sink{p})
+					} else {
+						p.Lost(id, sink{p})
+					}
 				}
 			case 5:
 				if runs {
