Let calls in hand exceed their pace as far as time is saved up for them

Checked: the module's books at that moment: 7 calls "in hand", the cap (pace 6.66), of which 1 to 5 were given up and lingered for their 200 ms and 1 to 3 hung, while the account of the mean had 6.0 to 6.6 of 6.66 call seconds saved up. policy.go mayCall compared what is in hand at the moment with what may be in hand in the mean. The design bounds the mean over the told span. Ruled out: the ledger's speed, the breaker (never marked failed), the repeat budget (8 to 10 of 10).

Changed: up to twice the pace may be in hand, by the part of the saved-up time that is left; longestCall reckons with as many that hang at once.

--- a/policy/calls_test.go
+++ b/policy/calls_test.go
@@ -398,3 +398,28 @@
 	in.Done(3*ms, "0", OK, ms)
 	check()
 }
+
+// Calls that hang or linger filled the number that might be in hand, and all others
+// stood behind them, though the mean was far from its bound. Time that is saved up
+// lets more be made, until it is spent.
+func TestSavedUpTimeLetsCallsPassThoseThatHang(t *testing.T) {
+	in, _ := start(t, settings()) // four in hand in the mean
+	in.Decide(0)
+	for range 4 {
+		in.lingering = append(in.lingering, time.Hour)
+	}
+	in.credit = time.Duration(in.callPace() * float64(callSaved))
+	if !in.mayCall() {
+		t.Error("nothing may be called behind four that hang, with all time saved up")
+	}
+	for range 4 {
+		in.lingering = append(in.lingering, time.Hour)
+	}
+	if in.mayCall() {
+		t.Error("there is no bound to the calls in hand")
+	}
+	in.credit, in.lingering = 0, in.lingering[:4]
+	if in.mayCall() {
+		t.Error("what is over the pace may be called with no time saved up")
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -39,6 +39,7 @@
 	callLeast    = 0.005                 // [ours] least share taken for true: a told 0 is a rounded one
 	callShare    = 0.9                   // [ours] of the told call share that hanging calls may reach
 	callSaved    = time.Second           // [ours] calls that an idle instance may catch up on
+	callBurst    = 2.0                   // [measured] times the pace that may be in hand while such are left
 	memoryShare  = 0.92                  // [ours] of the memory that is planned for; reads come on top
 	crowdShare   = 0.85                  // [ours] of the crowd that the cores survive
 	hurry        = 2                     // [measured] patience is the aim over this
@@ -836,7 +837,15 @@
 	if in.set.Below != BelowShared {
 		return out < in.runLimit
 	}
-	return out < max(1, in.callPace()) && in.credit >= 0
+	return out < max(1, in.callsAtOnce()) && in.credit >= 0
+}
+
+// callsAtOnce is how many calls may be in hand at a time: more than the pace as far
+// as time is saved up for them, so that a few which hang or linger don't hold up
+// all others while the mean is far from its bound.
+func (in *Instance) callsAtOnce() float64 {
+	saved := float64(in.credit) / (in.callPace() * float64(callSaved))
+	return in.callPace() * (1 + (callBurst-1)*min(1, max(0, saved)))
 }
 
 // longestCall bounds a call's time-out so that the shared dependency survives
@@ -847,7 +856,7 @@
 		return math.MaxInt64
 	}
 	spare := (callShare-callGoal)*in.set.CallsOut*float64(in.set.CallsOver) - in.callPace()*float64(callSaved)
-	return max(in.controller.timeout, time.Duration(spare/math.Ceil(max(1, in.callPace())))-in.set.Linger)
+	return max(in.controller.timeout, time.Duration(spare/math.Ceil(max(1, in.callPace()*callBurst)))-in.set.Linger)
 }
 
 // controller holds the time-out of diagnostic calls (the paper's 4.4). least is
