--- a/policy/policy.go
+++ b/policy/policy.go
@@ -856,7 +856,8 @@
 		return math.MaxInt64
 	}
 	spare := (callShare-callGoal)*in.set.CallsOut*float64(in.set.CallsOver) - in.callPace()*float64(callSaved)
-	return max(in.controller.timeout, time.Duration(spare/math.Ceil(max(1, in.callPace()*callBurst)))-in.set.Linger)
+	each := time.Duration(spare / math.Ceil(max(1, in.callPace()*callBurst)))
+	return max(in.controller.timeout, each-in.set.Linger)
 }
 
 // controller holds the time-out of diagnostic calls (the paper's 4.4). least is
