Keep a connection whose message stalls until the answers owed on it are out

Checked: a case of TestExpectWithin (half a message, an answer owed for 3 s) ended after 1 s, want 3.

Changed: while requests are open on it, such a connection's end is put off, in steps of 250 ms.

--- a/program/thrift.go
+++ b/program/thrift.go
@@ -53,7 +53,7 @@
 func (f *thriftFront) serve(c *transport.Conn) {
 	t := &thriftConn{core: f.core, conn: c, open: make(map[string]int32), ids: make(map[int32]string)}
 	f.conns.add(t)
-	c.ExpectWithin(thriftWithin)
+	c.ExpectWithin(thriftWithin, t.owes)
 	c.Serve(func(r *bufio.Reader) error {
 		m, err := thrift.Read(r)
 		if err != nil {
@@ -198,6 +198,13 @@
 	}
 }
 
+// owes tells whether a request is open.
+func (t *thriftConn) owes() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open) > 0
+}
+
 // left tells whether leave of the connection was taken before.
 func (t *thriftConn) left() bool {
 	t.mu.Lock()
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -18,6 +18,7 @@
 	readBuffer   = 16 << 10               // a peeked message must fit
 	queueLimit   = 512 << 10              // bytes a peer may leave unread before it is cut off
 	lingerFor    = 200 * time.Millisecond // for the peer to take in the end
+	owedEvery    = 250 * time.Millisecond // between two looks whether answers are still owed
 	writeTimeout = 5 * time.Second        // for one flush; a pause of the machine is shorter
 )
 
@@ -39,6 +40,7 @@
 	woken    bool
 	last     time.Time     // of the last message read or written
 	within   time.Duration // for a message to come whole; 0 for no limit
+	owed     func() bool   // whether answers are still to go out
 	spoken   bool          // a whole message has come
 }
 
@@ -103,9 +105,10 @@
 
 // ExpectWithin sets how long after its first byte a message must be whole; the
 // first one that long after now, so that a peer which says nothing is ended too.
-// It must be called before Serve.
-func (c *Conn) ExpectWithin(d time.Duration) {
-	c.within = d
+// Where answers are still owed by then, it ends after these. It must be called
+// before Serve.
+func (c *Conn) ExpectWithin(d time.Duration, owed func() bool) {
+	c.within, c.owed = d, owed
 	c.SetReadDeadline(time.Now().Add(d))
 }
 
@@ -157,7 +160,7 @@
 			c.taken()
 			continue
 		}
-		if !errors.Is(err, os.ErrDeadlineExceeded) || c.Expired() {
+		if !errors.Is(err, os.ErrDeadlineExceeded) || c.Expired() && !c.extend() {
 			c.flush() // an error answer queued by the step still goes out
 			return err
 		}
@@ -182,6 +185,18 @@
 	return nil
 }
 
+// extend puts off the end of a connection whose message has not come whole, while
+// answers to others are owed on it.
+func (c *Conn) extend() bool {
+	if c.owed == nil || !c.owed() {
+		return false
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.deadline = time.Now().Add(owedEvery)
+	return true
+}
+
 // taken takes in that a whole message has come.
 func (c *Conn) taken() {
 	c.mu.Lock()
--- a/transport/conn_test.go
+++ b/transport/conn_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"net"
 	"os"
@@ -179,18 +180,21 @@
 }
 
 // TestExpectWithin guards the table of connections against peers that say
-// nothing, and against messages that never end; one that has spoken may idle.
+// nothing, and against messages that never end; one that has spoken may idle, and
+// what is owed to a peer still goes out.
 func TestExpectWithin(t *testing.T) {
 	for _, x := range []struct {
 		says string
+		owed time.Duration // until then, an answer is
 		want time.Duration // 0: it goes on
-	}{{"", time.Second}, {"ha", time.Second}, {"hal", 0}, {"halha", 4 * time.Second}} {
-		t.Run(x.says, func(t *testing.T) {
+	}{{"", 0, time.Second}, {"ha", 0, time.Second}, {"ha", 3 * time.Second, 3 * time.Second}, {"hal", 0, 0},
+		{"halha", 0, 4 * time.Second}} {
+		t.Run(fmt.Sprint(x.says, x.owed), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				p := newIdlePeer()
 				defer p.Close()
-				p.conn.ExpectWithin(time.Second)
 				began := time.Now()
+				p.conn.ExpectWithin(time.Second, func() bool { return time.Since(began) < x.owed })
 				p.serve()
 				whole := min(len(x.says), frame)
 				p.Write([]byte(x.says[:whole]))
