Let operators send callers away, and serve on an inherited listening socket

Checked: the node's log named the fault, listen: address already in use; the platform holds the socket and passes it as GW_FD (program.Start, transport.Listen always opened their own). Nobody listened at the configuration's control. Ruled out: the module's health, which was good throughout, and late reports (700 ms).

Rejected: the module's drain, which turns away what comes after its grace and has no way back.

Two processes don't yet share their keys.

--- a/program/config.go
+++ b/program/config.go
@@ -3,6 +3,7 @@
 package program
 
 import (
+	"cmp"
 	"fmt"
 	"os"
 	"strconv"
@@ -17,6 +18,8 @@
 // Config is what the app server is told.
 type Config struct {
 	Name, Listen                string
+	Control                     string // where operators call; may be empty
+	ListenFD                    int    // the listening socket, where it is inherited; else 0
 	Processor, Announce, Ledger string
 	Seed                        int64
 	Stop                        time.Duration // from the notice to leave to the kill
@@ -34,7 +37,17 @@
 	if err != nil {
 		return nil, fmt.Errorf("GW_CONFIG: %w", err)
 	}
-	return ParseConfig(string(text))
+	c, err := ParseConfig(string(text))
+	if err != nil {
+		return nil, err
+	}
+	c.Control = cmp.Or(os.Getenv("GW_CONTROL"), c.Control) // new with each start
+	if fd := os.Getenv("GW_FD"); fd != "" {
+		if c.ListenFD, err = strconv.Atoi(fd); err != nil || c.ListenFD < 3 {
+			return nil, fmt.Errorf("GW_FD: %q, a descriptor's number wanted", fd)
+		}
+	}
+	return c, nil
 }
 
 // ParseConfig reads a configuration. An error names the key at fault.
@@ -63,7 +76,7 @@
 		return v.Num
 	}
 	c := &Config{Name: str("name"), Listen: str("listen"), Processor: str("processor"),
-		Announce: str("announce"), Ledger: str("ledger"),
+		Announce: str("announce"), Ledger: str("ledger"), Control: gjson.Get(text, "control").String(),
 		Stop:  time.Duration(num("stop_ms") * float64(time.Millisecond)),
 		Cores: num("limits.cores"), MemoryMB: int(num("limits.memory_mb")), Sockets: int(num("limits.sockets"))}
 	seed, e := strconv.ParseUint(str("seed"), 16, 64)
--- /dev/null
+++ b/program/control_test.go
@@ -0,0 +1,83 @@
+package program_test
+
+import (
+	"bufio"
+	"net"
+	"strings"
+	"syscall"
+	"testing"
+
+	"quincerail.example/quincerail/internal/standin"
+	"quincerail.example/quincerail/program"
+)
+
+// operate makes a call as operators do, and gives the answer's first word.
+func operate(t testing.TB, address, call string) string {
+	t.Helper()
+	nc := must(net.Dial("tcp", address))(t)
+	defer nc.Close()
+	nc.Write([]byte(call + "\r\n"))
+	line, err := bufio.NewReader(nc).ReadString('\n')
+	if err != nil {
+		t.Fatalf("%s: %v", call, err)
+	}
+	word, _, _ := strings.Cut(strings.TrimSpace(line), " ")
+	return word
+}
+
+// healthy makes a health check over Thrift.
+func (w *world) healthy(t testing.TB) bool {
+	t.Helper()
+	nc := must(net.Dial("tcp", w.Addr().String()))(t)
+	defer nc.Close()
+	nc.Write(standin.AppendCheck(nil, 1, false))
+	return must(standin.ReadReply(bufio.NewReader(nc)))(t).Good
+}
+
+// TestControl guards the operators' drain: from the call's answer on, checks are
+// bad and reports false, what still comes is served as ever, and all is undone by
+// the opposite call. Callers that say nothing hold up nobody.
+func TestControl(t *testing.T) {
+	w := newWorld(t, func(c *program.Config) { c.Control = "127.0.0.1:0" })
+	address := w.ControlAddr().String()
+	for range 5 {
+		defer must(net.Dial("tcp", address))(t).Close()
+	}
+	for _, x := range []struct {
+		call, answer string
+		fit          bool
+	}{
+		{"check", "done", true}, {"drain-on", "done", false}, {"check", "done", false},
+		{"drain", "error", false}, {"drain-off", "done", true},
+	} {
+		if got := operate(t, address, x.call); got != x.answer {
+			t.Errorf("%s: %s, want %s", x.call, got, x.answer)
+		}
+		if w.healthy(t) != x.fit {
+			t.Errorf("after %s: checks don't say %t", x.call, x.fit)
+		}
+		if strings.HasPrefix(x.call, "drain-") {
+			w.waitReport(t, x.fit)
+		}
+		if o := outcome(t, fronts[0].ask(t, w, "kampanjsida", "", "page")); o.Kind != "served" {
+			t.Errorf("after %s: %s", x.call, o.Kind)
+		}
+	}
+}
+
+// TestInherit serves on a listening socket that another holds, and leaves it
+// open to that one.
+func TestInherit(t *testing.T) {
+	held := must(net.Listen("tcp", "127.0.0.1:0"))(t).(*net.TCPListener)
+	defer held.Close()
+	file := must(held.File())(t)
+	defer file.Close()
+	fd := must(syscall.Dup(int(file.Fd())))(t)
+	w := newWorld(t, func(c *program.Config) { c.Listen, c.ListenFD = "held by another", fd })
+	if o := outcome(t, fronts[0].ask(t, w, "kampanjsida", "", "page")); o.Kind != "served" {
+		t.Errorf("over the inherited socket: %s", o.Kind)
+	}
+	if w.Addr().String() != held.Addr().String() {
+		t.Errorf("it listens on %s", w.Addr())
+	}
+}
--- a/program/program.go
+++ b/program/program.go
@@ -58,7 +58,8 @@
 	uwsgi    *uwsgiFront // nil where it is off, like its backend
 	backend  *uwsgiBackend
 	idle     *idleLimit
-	doors    []door // the first is the platform's
+	doors    []door            // the first is the platform's
+	control  *transport.Server // where operators call; may be nil
 	stop     context.CancelFunc
 }
 
@@ -82,17 +83,28 @@
 	link.core, pool.core = core, core
 	s := &Server{config: c, core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core), idle: idle}
 	s.stopIn.Store(int64(c.Stop))
-	if err := s.listen("listen", c.Listen, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
+	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
 		return nil, err
 	}
+	if c.Control != "" {
+		l, err := net.Listen("tcp", c.Control)
+		if err != nil {
+			s.doors[0].server.Close()
+			return nil, fmt.Errorf("control: %w", err)
+		}
+		s.control = transport.NewServer(l, controlConns, (&controlDoor{core}).serve, func() {})
+	}
 	if u != nil {
 		s.backend = newUWSGIBackend(core, u.Backend)
 		s.uwsgi = newUWSGIFront(core, s.backend, u)
-		if err := s.listen("uwsgi listen", u.Listen, int(float64(c.Sockets)*uwsgiShare), s.uwsgi); err != nil {
+		if err := s.listen("uwsgi listen", u.Listen, 0, int(float64(c.Sockets)*uwsgiShare), s.uwsgi); err != nil {
 			s.doors[0].server.Close()
 			return nil, err
 		}
 	}
+	if s.control != nil {
+		go s.control.Run()
+	}
 	working, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	go core.Run(working)
@@ -106,12 +118,19 @@
 	return s, nil
 }
 
-func (s *Server) listen(key, address string, limit int, f front) error {
-	server, err := transport.Listen(address, limit, f.serve, f.crowded)
+// listen opens a front's listener, or takes over the one that fd is if it is not 0.
+func (s *Server) listen(key, address string, fd, limit int, f front) error {
+	var l net.Listener
+	var err error
+	if fd != 0 {
+		l, err = transport.Inherit(fd)
+	} else {
+		l, err = net.Listen("tcp", address)
+	}
 	if err != nil {
 		return fmt.Errorf("%s: %w", key, err)
 	}
-	s.doors = append(s.doors, door{f, server})
+	s.doors = append(s.doors, door{f, transport.NewServer(l, limit, f.serve, f.crowded)})
 	return nil
 }
 
@@ -126,6 +145,14 @@
 	return s.doors[1].server.Addr()
 }
 
+// ControlAddr is the address that operators call, nil where there is none.
+func (s *Server) ControlAddr() net.Addr {
+	if s.control == nil {
+		return nil
+	}
+	return s.control.Addr()
+}
+
 // Reload takes over a new configuration while all goes on: where the other
 // parties are, the limits, and how soon the kill follows the notice to leave.
 // What can't change in a running process is named in the log, and stays. u may
--- a/routing/core.go
+++ b/routing/core.go
@@ -53,6 +53,7 @@
 	gauges    policy.Gauges
 	fit       bool // health as the module sets it
 	stored    bool // checks are answered from it alone
+	away      bool // operators have its callers sent away
 	draining  bool
 	stopAt    time.Duration
 }
@@ -193,8 +194,8 @@
 // by a trial of the machine where the module has not settled it.
 func (c *Core) Check(deep bool, reply func(good bool)) error {
 	return c.post(func() {
-		if !deep || c.stored || !c.fit || c.opt.Machine == nil {
-			reply(c.fit)
+		if !deep || c.stored || !c.welcome() || c.opt.Machine == nil {
+			reply(c.welcome())
 			return
 		}
 		answered := false
@@ -202,7 +203,7 @@
 			c.post(func() {
 				if !answered {
 					answered = true
-					reply(good && c.fit)
+					reply(good && c.welcome())
 				}
 			})
 		}
@@ -229,7 +230,30 @@
 
 func (c *Core) setHealth(on, stored bool) {
 	c.fit, c.stored = on, stored
+	c.report()
+}
+
+// welcome tells whether callers are to come.
+func (c *Core) welcome() bool { return c.fit && !c.away }
+
+func (c *Core) report() {
 	if c.opt.Presence != nil {
-		c.opt.Presence.Accepting(on)
+		c.opt.Presence.Accepting(c.welcome())
 	}
 }
+
+// SendAway has callers told to stay away, or to come again, whatever the module
+// says of its health. What still comes is served as ever.
+func (c *Core) SendAway(on bool, done func()) error {
+	return c.post(func() {
+		c.away = on
+		log.Printf("event=away on=%t", on)
+		c.report()
+		done()
+	})
+}
+
+// Ready tells whether requests can be run here.
+func (c *Core) Ready(reply func(ready bool)) error {
+	return c.post(func() { reply(c.module != nil && !c.draining) })
+}
--- a/transport/conn_test.go
+++ b/transport/conn_test.go
@@ -223,13 +223,14 @@
 // tells when a closed server's last one has ended.
 func TestServer(t *testing.T) {
 	serving, crowded := make(chan *Conn), make(chan struct{}, 2)
-	s, err := Listen("127.0.0.1:0", 1, func(c *Conn) {
-		serving <- c
-		c.Serve(func(r *bufio.Reader) error { _, err := r.ReadByte(); return err })
-	}, func() { crowded <- struct{}{} })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	s := NewServer(l, 1, func(c *Conn) {
+		serving <- c
+		c.Serve(func(r *bufio.Reader) error { _, err := r.ReadByte(); return err })
+	}, func() { crowded <- struct{}{} })
 	go s.Run()
 	dial := func() net.Conn {
 		nc, err := net.Dial("tcp", s.Addr().String())
--- a/transport/server.go
+++ b/transport/server.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"os"
 	"sync"
 	"time"
 )
@@ -24,15 +25,27 @@
 // crowdedShare is the part of the limit from which on room is asked for.
 const crowdedShare = 0.75
 
-// Listen opens a listener; Run works it. Each connection gets a goroutine
-// that calls serve, at most limit at a time: more are closed unread. crowded is
-// called for each that comes when not much room is left, so as to make some.
-func Listen(address string, limit int, serve func(*Conn), crowded func()) (*Server, error) {
-	l, err := net.Listen("tcp", address)
+// Inherit takes over the listening socket that a descriptor is. Closing the
+// listener leaves those that others hold of the socket open.
+func Inherit(fd int) (net.Listener, error) {
+	f := os.NewFile(uintptr(fd), "listener")
+	if f == nil {
+		return nil, fmt.Errorf("descriptor %d is none", fd)
+	}
+	defer f.Close()
+	l, err := net.FileListener(f)
 	if err != nil {
-		return nil, fmt.Errorf("listen: %w", err)
+		return nil, fmt.Errorf("descriptor %d: %w", fd, err)
 	}
-	return &Server{listener: l, limit: limit, serve: serve, crowded: crowded, empty: make(chan struct{})}, nil
+	return l, nil
+}
+
+// NewServer makes a server of a listener; Run works it. Each connection gets a
+// goroutine that calls serve, at most limit at a time: more are closed unread.
+// crowded is called for each that comes when not much room is left, so as to
+// make some.
+func NewServer(l net.Listener, limit int, serve func(*Conn), crowded func()) *Server {
+	return &Server{listener: l, limit: limit, serve: serve, crowded: crowded, empty: make(chan struct{})}
 }
 
 // Addr is the address that is listened on.
