Take over new settings at SIGHUP, with classes added and dropped

Ruled out: the processor rejecting the new class (no reject in the logs).

A file that lacks a key which the one in force has is turned down (Config.lacks). Rejected: a second module for the new settings, as two would share cores, memory and calls unawares; a fixed list of keys, which would miss those of lanes and grow stale.

Conclusion: settings follow the file; name, addresses to listen on and descriptors still need a restart.

--- a/cmd/quincerail/main.go
+++ b/cmd/quincerail/main.go
@@ -41,11 +41,12 @@
 	go func() { // also while it drains
 		for range hup {
 			config, front, err := load(uwsgi)
+			if err == nil {
+				err = server.Reload(config, front)
+			}
 			if err != nil { // what works is kept
 				log.Printf("event=reload_failed error=%q", err)
-				continue
 			}
-			server.Reload(config, front)
 		}
 	}()
 	<-ctx.Done()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -144,17 +144,47 @@
 		set: s, host: host, rng: rand.New(rand.NewSource(seed)), requests: make(map[string]*request),
 		runLimit: float64(s.Cores), calls: make([]float64, len(s.Classes)),
 		rates: make([]float64, max(1, len(s.Tenants))), budget: budgetMost,
-		gap: max(s.BatchGap, min(tickMost, s.AnswerSlack/4)), said: -1, well: true, idle: s.MaxIdle,
+		said: -1, well: true, idle: s.MaxIdle,
 	}
+	in.tune(0)
+	in.controller.timeout = time.Duration(float64(in.shortest) * startShare)
+	return in, nil
+}
+
+// tune derives what follows from the settings. Classes from the given one on are new.
+func (in *Instance) tune(newFrom int) {
+	s := &in.set
+	in.gap = max(s.BatchGap, min(tickMost, s.AnswerSlack/4))
 	in.shortest = slices.MinFunc(s.Classes, func(a, b Class) int { return cmp.Compare(a.Aim, b.Aim) }).Aim
-	for i, c := range s.Classes {
-		if c.Calls {
+	for i := newFrom; i < len(s.Classes); i++ {
+		if s.Classes[i].Calls {
 			in.calls[i] = 1 // until seen
 		}
 	}
-	in.optimizer.lost = float64(s.Linger)
-	in.controller = controller{timeout: time.Duration(float64(in.shortest) * startShare), least: s.Linger}
-	return in, nil
+	in.optimizer.lost, in.controller.least = float64(s.Linger), s.Linger
+}
+
+// Retune takes over other settings. A class keeps its place, and new ones follow;
+// what is held or runs keeps what its class was. How cold it started stays.
+func (in *Instance) Retune(now time.Duration, s Settings) error {
+	if err := validate(s, in.host); err != nil {
+		return err
+	}
+	old := len(in.set.Classes)
+	if len(s.Classes) < old {
+		return fmt.Errorf("classes: %d, want at least the %d that there were", len(s.Classes), old)
+	}
+	in.now = now
+	s.Cold, s.ColdFrom, s.ColdSpan = in.set.Cold, in.set.ColdFrom, in.set.ColdSpan
+	in.set = s
+	in.calls = append(in.calls, make([]float64, len(s.Classes)-old)...)
+	in.rates = append(in.rates, make([]float64, max(0, len(s.Tenants)-len(in.rates)))...)
+	in.tune(old)
+	in.memory = in.set.KeyKB * float64(len(in.kept))
+	for _, q := range in.live {
+		in.memory += in.weight(q, q.state)
+	}
+	return nil
 }
 
 // Request takes in a request that was read. Decide settles what becomes of it.
--- a/policy/told_test.go
+++ b/policy/told_test.go
@@ -81,3 +81,33 @@
 		t.Errorf("after the storm: %q", got)
 	}
 }
+
+// TestRetuneKeepsCountOfMemory guards the account of the memory when the figures
+// that it goes by change under what is in hand: it would never be level again.
+func TestRetuneKeepsCountOfMemory(t *testing.T) {
+	s := settings()
+	in, _ := start(t, s)
+	now := time.Second
+	for _, id := range []string{"a", "b"} {
+		in.Request(now, Request{ID: id, Class: 0, HeldKB: 10})
+	}
+	in.Decide(now)
+	s.RunFactor, s.KeyKB = 2*s.RunFactor, 3*s.KeyKB
+	if err := in.Retune(now, s); err != nil {
+		t.Fatal(err)
+	}
+	for _, id := range []string{"a", "b"} {
+		in.Done(now, id, OK, 0)
+	}
+	in.Decide(now)
+	for range 2 { // the keys that were kept go with their windows
+		now += time.Hour
+		in.Tick(now, 0, Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1})
+	}
+	if in.memory != 0 {
+		t.Errorf("%v KB are taken by nothing", in.memory)
+	}
+	if s.Classes = s.Classes[:len(s.Classes)-1]; in.Retune(now, s) == nil {
+		t.Error("a class may lose its place")
+	}
+}
--- a/program/config.go
+++ b/program/config.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"github.com/tidwall/gjson"
@@ -29,6 +30,38 @@
 	Classes                     []string
 	Settings                    policy.Settings
 	Gauges                      []string // names, in the order in which the processor gives them
+	text                        string
+}
+
+// lacks names the first key that another configuration has and this one lacks,
+// in a part that both have; "" if there is none.
+func (c *Config) lacks(other *Config) string {
+	return lacking("", gjson.Parse(other.text), gjson.Parse(c.text))
+}
+
+func lacking(at string, has, in gjson.Result) (key string) {
+	if has.IsArray() && in.IsArray() && has.Get("0").IsObject() { // a list of the like
+		for i, item := range in.Array() {
+			if key = lacking(fmt.Sprintf("%s.%d", at, i), has.Get("0"), item); key != "" {
+				break
+			}
+		}
+		return strings.TrimPrefix(key, ".")
+	}
+	if !has.IsObject() {
+		return ""
+	}
+	parts := in.Map()
+	has.ForEach(func(name, value gjson.Result) bool {
+		path := at + "." + name.String()
+		if part, ok := parts[name.String()]; !ok || part.Type == gjson.Null && value.Type != gjson.Null {
+			key = path
+		} else {
+			key = lacking(path, value, part)
+		}
+		return key == ""
+	})
+	return strings.TrimPrefix(key, ".")
 }
 
 // LoadConfig reads the configuration file. An error names the key at fault.
@@ -77,8 +110,8 @@
 	}
 	c := &Config{Name: str("name"), Listen: str("listen"), Processor: str("processor"),
 		Announce: str("announce"), Ledger: str("ledger"), Control: gjson.Get(text, "control").String(),
-		Stop:  time.Duration(num("stop_ms") * float64(time.Millisecond)),
-		Cores: num("limits.cores"), MemoryMB: int(num("limits.memory_mb")), Sockets: int(num("limits.sockets"))}
+		Stop: time.Duration(num("stop_ms") * float64(time.Millisecond)),
+		text: text, Cores: num("limits.cores"), MemoryMB: int(num("limits.memory_mb")), Sockets: int(num("limits.sockets"))}
 	seed, e := strconv.ParseUint(str("seed"), 16, 64)
 	if e != nil {
 		fault("seed", "a number in hex")
--- a/program/config_test.go
+++ b/program/config_test.go
@@ -44,6 +44,30 @@
 	}
 }
 
+// TestConfigLacks guards a reload against a file with a key missing that the one
+// in force has, wherever it stands; a further class or key is none missing.
+func TestConfigLacks(t *testing.T) {
+	text := exampleConfig(t)
+	parse := func(text string) *Config {
+		c, err := ParseConfig(text)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	for _, x := range []struct{ old, new, key string }{
+		{`"drainGraceUs": 2000000, `, ``, "settings.obligations.drainGraceUs"},
+		{`"servers": 1,`, ``, "settings.servers"},
+		{`"lateWorth": 0.0, "name": "givarhistorik"`, `"name": "givarhistorik"`, "settings.lanes.1.lateWorth"},
+		{`"memoryKb": 28248.0,`, `"memoryKb": null,`, "settings.familyInfo.memoryKb"},
+		{`"name": "n1",`, `"name": "n1", "control": "127.0.0.1:9600",`, ""},
+	} {
+		if got := parse(strings.Replace(text, x.old, x.new, 1)).lacks(parse(text)); got != x.key {
+			t.Errorf("%s for %s: it lacks %q, want %q", x.new, x.old, got, x.key)
+		}
+	}
+}
+
 func TestUWSGIConfig(t *testing.T) {
 	const good = "listen = \"127.0.0.1:1\"\nbackend = \"127.0.0.1:2\"\n[[route]]\npath = \"/g\"\nclass = \"ny-gava\"\n"
 	classes := []string{"kampanjsida", "givarhistorik", "ny-gava"}
--- a/program/control_test.go
+++ b/program/control_test.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"net"
+	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -65,6 +67,30 @@
 	}
 }
 
+// TestReloadSettings has classes change under load: a new one is served from then
+// on, one that is gone is not, and a file that lacks a key changes nothing.
+func TestReloadSettings(t *testing.T) {
+	var running *program.Config
+	w := newWorld(t, func(c *program.Config) { running = c })
+	renamed := func(old, new string) *program.Config {
+		text := string(must(os.ReadFile(filepath.Join("..", "example", "config.json")))(t))
+		c := must(program.ParseConfig(strings.Replace(text, old, new, 1)))(t)
+		c.Processor, c.Ledger, c.Announce = running.Processor, running.Ledger, running.Announce
+		return c
+	}
+	if err := w.Reload(renamed(`"servers": 1,`, ``), nil); err == nil || !strings.Contains(err.Error(), "settings.servers") {
+		t.Errorf("without a key: %v", err)
+	}
+	if err := w.Reload(renamed(`"name": "kampanjsida"`, `"name": "galasida"`), nil); err != nil {
+		t.Fatal(err)
+	}
+	for class, want := range map[string]string{"galasida": "served", "kampanjsida": "rejected", "givarhistorik": "served"} {
+		if o := outcome(t, fronts[0].ask(t, w, class, "", "page")); o.Kind != want {
+			t.Errorf("%s: %s, want %s", class, o.Kind, want)
+		}
+	}
+}
+
 // TestInherit serves on a listening socket that another holds, and leaves it
 // open to that one.
 func TestInherit(t *testing.T) {
--- a/program/program.go
+++ b/program/program.go
@@ -5,9 +5,9 @@
 	"fmt"
 	"log"
 	"net"
-	"reflect"
 	"runtime"
 	"runtime/debug"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -48,8 +48,7 @@
 
 // Server is a running app server.
 type Server struct {
-	config   *Config // as it started
-	stopIn   atomic.Int64
+	config   atomic.Pointer[Config] // in force
 	core     *routing.Core
 	link     *processorLink
 	pool     *ledgerPool
@@ -81,8 +80,8 @@
 		return nil, err
 	}
 	link.core, pool.core = core, core
-	s := &Server{config: c, core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core), idle: idle}
-	s.stopIn.Store(int64(c.Stop))
+	s := &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core), idle: idle}
+	s.config.Store(c)
 	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
 		return nil, err
 	}
@@ -154,18 +153,24 @@
 }
 
 // Reload takes over a new configuration while all goes on: where the other
-// parties are, the limits, and how soon the kill follows the notice to leave.
-// What can't change in a running process is named in the log, and stays. u may
-// be nil. It must not be called twice at a time.
-func (s *Server) Reload(c *Config, u *UWSGIConfig) {
+// parties are, the settings, the limits, and how soon the kill follows the notice
+// to leave. An error names what makes no sense, or is missing, and nothing has
+// changed then. What can't change in a running process is named in the log, and
+// stays. u may be nil. It must not be called twice at a time.
+func (s *Server) Reload(c *Config, u *UWSGIConfig) error {
+	was := s.config.Load()
+	if key := c.lacks(was); key != "" {
+		return fmt.Errorf("%s: it is missing", key)
+	}
+	if err := s.core.Retune(c.Settings, c.Classes); err != nil {
+		return err
+	}
 	Limit(c)
-	s.stopIn.Store(int64(c.Stop))
 	s.link.link.Move(c.Processor)
 	s.pool.move(c.Ledger)
 	s.presence.move(c.Announce)
-	was := s.config
-	stays := map[string]bool{"name": c.Name != was.Name, "listen": c.Listen != was.Listen,
-		"limits.sockets": c.Sockets != was.Sockets, "settings": !reflect.DeepEqual(c.Settings, was.Settings)}
+	stays := map[string]bool{"name": c.Name != was.Name, "listen": c.Listen != was.Listen, "control": c.Control != was.Control,
+		"limits.sockets": c.Sockets != was.Sockets, "settings.familyInfo.ownStats": !slices.Equal(c.Gauges, was.Gauges)}
 	if s.uwsgi != nil && u != nil {
 		s.backend.move(u.Backend)
 		stays["uwsgi listen"] = s.uwsgi.reload(u)
@@ -175,7 +180,9 @@
 			log.Printf("event=reload_ignored key=%q reason=%q", key, "needs a restart")
 		}
 	}
-	log.Printf("event=reloaded processor=%s ledger=%s announce=%s", c.Processor, c.Ledger, c.Announce)
+	s.config.Store(c)
+	log.Printf("event=reloaded processor=%s ledger=%s announce=%s classes=%q", c.Processor, c.Ledger, c.Announce, c.Classes)
+	return nil
 }
 
 // sweep takes leave of idle connections until ctx ends.
@@ -196,9 +203,9 @@
 // have closed their connections, or just before the process is killed.
 func (s *Server) Drain() {
 	defer s.stop()
-	stopIn := time.Duration(s.stopIn.Load())
-	stopAt := time.Now().Add(stopIn)
-	log.Printf("event=drain stop_in=%v", stopIn)
+	config := s.config.Load()
+	stopAt := time.Now().Add(config.Stop)
+	log.Printf("event=drain stop_in=%v", config.Stop)
 	s.core.Drain(stopAt)
 	for _, d := range s.doors {
 		d.front.leave()
@@ -206,7 +213,7 @@
 	last, cancel := context.WithDeadline(context.Background(), stopAt.Add(-exitMargin))
 	defer cancel()
 	select {
-	case <-time.After(s.config.Settings.DrainGrace):
+	case <-time.After(config.Settings.DrainGrace):
 	case <-last.Done():
 	}
 	for _, d := range s.doors {
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -21,7 +21,7 @@
 	}
 	c.module.Request(c.now, policy.Request{
 		ID: a.ID, Class: a.class, Key: a.Item, HeldKB: a.HeldKB, Rank: a.Rank, From: a.Caller,
-		Write: c.opt.Settings.Classes[a.class].Effect != policy.Safe, Waited: c.now - a.door, Earlier: earlier,
+		Write: a.kind.Effect != policy.Safe, Waited: c.now - a.door, Earlier: earlier,
 	})
 }
 
@@ -89,7 +89,7 @@
 }
 
 func (c *Core) failure(a *attempt) Outcome {
-	if c.now+c.opt.Settings.AnswerSlack >= a.due {
+	if c.now+c.set.AnswerSlack >= a.due {
 		return Outcome{Kind: TimedOut}
 	}
 	return Outcome{Kind: Failed}
--- a/routing/book.go
+++ b/routing/book.go
@@ -18,7 +18,7 @@
 // from an earlier one, for example: a caller that uses an id again would wait
 // for ever.
 func (c *Core) answerOverdue() {
-	late := c.opt.Settings.AnswerSlack * 3 / 4 // the module's own guard comes at half of it
+	late := c.set.AnswerSlack * 3 / 4 // the module's own guard comes at half of it
 	for id, a := range c.attempts {
 		if !a.answered && (c.now > a.due+late || c.draining && c.now > c.stopAt) {
 			c.book(a, c.failure(a))
--- a/routing/core.go
+++ b/routing/core.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"hash/maphash"
 	"log"
+	"sync/atomic"
 	"time"
 
 	"quincerail.example/quincerail/policy"
@@ -38,12 +38,13 @@
 // Core carries out the module's decisions. Its methods may be called from any
 // goroutine while Run works; they only leave events.
 type Core struct {
-	opt     Options
-	classes map[string]int
-	events  chan func()
-	done    chan struct{}
+	opt    Options
+	tuned  atomic.Pointer[tuning] // for those that hand in; Run's goroutine replaces it
+	events chan func()
+	done   chan struct{}
 
 	// All below belongs to Run's goroutine.
+	set       policy.Settings // in force
 	module    *policy.Instance
 	now       time.Duration // Unix time of the batch
 	attempts  map[string]*attempt
@@ -60,23 +61,11 @@
 
 // New makes a core. The error names the setting that makes no sense.
 func New(opt Options) (*Core, error) {
-	c := &Core{opt: opt, classes: make(map[string]int), events: make(chan func(), mailbox),
+	c := &Core{opt: opt, events: make(chan func(), mailbox),
 		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true, bodies: maphash.MakeSeed(),
 		gauges: policy.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}}
-	// What comes in the last moments of the grace, as it is seen here, may have
-	// come after it as the sender of the notice sees it.
-	c.opt.Settings.DrainGrace = max(0, opt.Settings.DrainGrace-noticeLate)
-	if len(opt.Classes) != len(opt.Settings.Classes) {
-		return nil, fmt.Errorf("classes: %d names for %d", len(opt.Classes), len(opt.Settings.Classes))
-	}
-	for i, name := range opt.Classes {
-		if _, twice := c.classes[name]; twice || name == "" {
-			return nil, fmt.Errorf("classes: %q is empty or there twice", name)
-		}
-		c.classes[name] = i
-	}
-	if _, err := policy.New(c.opt.Settings, opt.Seed, host{c}); err != nil {
-		return nil, fmt.Errorf("settings: %w", err)
+	if err := c.retune(opt.Settings, opt.Classes); err != nil {
+		return nil, err
 	}
 	return c, nil
 }
@@ -149,7 +138,7 @@
 		if c.module != nil {
 			return
 		}
-		s := c.opt.Settings
+		s := c.set
 		s.Cold = cold
 		module, err := policy.New(s, c.opt.Seed, host{c})
 		if err != nil { // New has tried the same settings
--- a/routing/route.go
+++ b/routing/route.go
@@ -12,7 +12,7 @@
 	}
 	// Guards rule 2 whatever the module says: within the window of a try that
 	// ran, no other try of the key is begun.
-	if a.entry != nil && !h.keys.claim(a, h.opt.Settings.Classes[a.class].Window) {
+	if a.entry != nil && !h.keys.claim(a, a.kind.Window) {
 		h.Reuse(id)
 		return
 	}
--- a/routing/send.go
+++ b/routing/send.go
@@ -58,7 +58,7 @@
 // run stands at the call again only when those around have taken the giving up
 // in, which they do once a batch: a call made before that is given up with the
 // first, and further ones find no run that waits.
-func (c *Core) settling() time.Duration { return 2 * c.opt.Settings.BatchGap }
+func (c *Core) settling() time.Duration { return 2 * c.set.BatchGap }
 
 // Skip has a run go on without its call.
 func (h host) Skip(id string) {
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -13,6 +13,7 @@
 type attempt struct {
 	Request
 	class    int
+	kind     policy.Class // as it was when the request came
 	door     time.Duration
 	due      time.Duration
 	backend  Backend
@@ -35,11 +36,12 @@
 // Submit hands in a request. An error means that it was not taken, and that
 // its sink hears nothing.
 func (c *Core) Submit(r Request) error {
-	class, ok := c.classes[r.Class]
+	tuned := c.tuned.Load()
+	class, ok := tuned.taken[r.Class]
 	if !ok {
 		return fmt.Errorf("class %q is not known", r.Class)
 	}
-	if keyed := c.opt.Settings.Classes[class].Effect == policy.Keyed; keyed && r.Key == "" {
+	if keyed := tuned.classes[class].Effect == policy.Keyed; keyed && r.Key == "" {
 		return fmt.Errorf("class %q needs a key", r.Class)
 	} else if !keyed {
 		r.Key = ""
@@ -57,10 +59,10 @@
 		r.Sink.Answer(r.ID, Outcome{Kind: Rejected})
 		return
 	}
-	a := &attempt{Request: r, class: class, door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
+	a := &attempt{Request: r, class: class, kind: c.set.Classes[class], door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
 	// A caller's clock ahead of ours can't have made it come after now.
 	a.door = min(a.door, c.now)
-	a.due = a.door + c.opt.Settings.Classes[class].Deadline
+	a.due = a.door + a.kind.Deadline
 	if a.backend == nil {
 		a.backend = c.opt.Backend
 	}
@@ -72,11 +74,11 @@
 		return
 	}
 	if c.module == nil { // nothing can run yet, or ever
-		c.book(a, Outcome{Kind: Refused, Later: c.opt.Settings.MaxAdvice})
+		c.book(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
 		return
 	}
 	if a.Key != "" && c.keys.full() { // it could run, but not be kept from running again
-		c.book(a, Outcome{Kind: Refused, Later: c.opt.Settings.MaxAdvice})
+		c.book(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
 		return
 	}
 	c.admit(a)
