Let a new process learn the keys of the one it takes over from, and ask before it runs one

Checked: nothing passed between the processes; keys.go is per process, and both accept on the same socket. The logs also showed event=drain in the old one, whose reports of false took the app server off the list at each upgrade. Ruled out: the window (both tries lay well within it) and the processor, which tells only of runs begun through its own address.

Design: the processes talk over a socket in $TMPDIR. The new one learns all keys before it lets callers in, each tells the other of keyed runs, and the elder's table decides who may run (routing/peer.go, protocol/handover, program/handover.go). SIGTERM with a successor at hand is Server.handOver: no report, leave is taken, all that is open is answered. Rejected: passing keyed requests themselves on, a second way for bodies, answers and give-ups; shutting the new one's door until the old one has ended. Keys are bounded at 320 bytes with their class, which the table's bound had taken for granted.

Their modules still don't know of each other's runs.

--- a/program/control.go
+++ b/program/control.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"sync/atomic"
 	"time"
 
 	"quincerail.example/quincerail/protocol/control"
@@ -17,7 +18,10 @@
 )
 
 // controlDoor is where operators call.
-type controlDoor struct{ core *routing.Core }
+type controlDoor struct {
+	core    *routing.Core
+	serving *atomic.Bool // whether callers are let in
+}
 
 // serve takes the one call of a connection, which ends with its answer.
 func (d *controlDoor) serve(c *transport.Conn) {
@@ -50,7 +54,7 @@
 	switch call {
 	case "check":
 		err = d.core.Ready(func(ready bool) {
-			if ready {
+			if ready && d.serving.Load() {
 				answer(nil)
 			} else {
 				answer(errors.New("not ready to serve"))
--- a/program/control_test.go
+++ b/program/control_test.go
@@ -8,6 +8,7 @@
 	"strings"
 	"syscall"
 	"testing"
+	"time"
 
 	"quincerail.example/quincerail/internal/standin"
 	"quincerail.example/quincerail/program"
@@ -91,15 +92,73 @@
 	}
 }
 
+// hold opens a listening socket for servers to inherit.
+func hold(t *testing.T) (held net.Listener, inherit func(*program.Config)) {
+	t.Setenv("TMPDIR", t.TempDir())
+	l := must(net.Listen("tcp", "127.0.0.1:0"))(t).(*net.TCPListener)
+	t.Cleanup(func() { l.Close() })
+	return l, func(c *program.Config) {
+		file := must(l.File())(t)
+		defer file.Close()
+		c.Listen, c.ListenFD = "held by another", must(syscall.Dup(int(file.Fd())))(t)
+		c.Control = "127.0.0.1:0"
+	}
+}
+
+// TestTakeOver has a new process take over from an old one on the same socket:
+// what is open is answered where it is, a gift that runs or ran in the old one never
+// runs in the new one, and nobody is sent away.
+func TestTakeOver(t *testing.T) {
+	_, inherit := hold(t)
+	old := newWorld(t, inherit)
+	old.work.Took = 300 * time.Millisecond
+	gift := func(w *world, key string) *standin.Try { return fronts[0].ask(t, w, "ny-gava", key, "gift "+key) }
+	want := standin.Outcome{Kind: "served", Body: "done: gift ran"}
+	if got := outcome(t, gift(old, "ran")); got != want {
+		t.Fatalf("%v", got)
+	}
+	open := gift(old, "runs")
+	<-old.work.Begun()
+	<-old.work.Begun()
+
+	young := newWorld(t, inherit)
+	for operate(t, young.ControlAddr().String(), "check") != "done" {
+		time.Sleep(time.Millisecond)
+	}
+	old.start()
+	repeats := []*standin.Try{gift(young, "ran"), gift(young, "runs"), open}
+	for i, key := range []string{"ran", "runs", "runs"} {
+		want.Body = "done: gift " + key
+		if got := outcome(t, repeats[i]); got != want {
+			t.Errorf("%s: %v", key, got)
+		}
+	}
+	<-old.drained
+	want.Body = "done: gift new"
+	if got := outcome(t, gift(young, "new")); got != want {
+		t.Errorf("after the old one's end: %v", got)
+	}
+	if got := outcome(t, gift(young, "runs")); got.Body != "done: gift runs" {
+		t.Errorf("after the old one's end: %v", got)
+	}
+	for key, where := range map[string]*world{"ran": old, "runs": old, "new": young} {
+		body := "gift " + key
+		if a, b := old.work.Runs(body), young.work.Runs(body); a+b != 1 || where.work.Runs(body) != 1 {
+			t.Errorf("%s: %d runs in the old process, %d in the new", body, a, b)
+		}
+	}
+	for len(old.announce.Reports) > 0 {
+		if report := <-old.announce.Reports; strings.Contains(report, "false") {
+			t.Errorf("the old one reports %s", report)
+		}
+	}
+}
+
 // TestInherit serves on a listening socket that another holds, and leaves it
 // open to that one.
 func TestInherit(t *testing.T) {
-	held := must(net.Listen("tcp", "127.0.0.1:0"))(t).(*net.TCPListener)
-	defer held.Close()
-	file := must(held.File())(t)
-	defer file.Close()
-	fd := must(syscall.Dup(int(file.Fd())))(t)
-	w := newWorld(t, func(c *program.Config) { c.Listen, c.ListenFD = "held by another", fd })
+	held, inherit := hold(t)
+	w := newWorld(t, inherit)
 	if o := outcome(t, fronts[0].ask(t, w, "kampanjsida", "", "page")); o.Kind != "served" {
 		t.Errorf("over the inherited socket: %s", o.Kind)
 	}
--- /dev/null
+++ b/program/handover.go
@@ -0,0 +1,204 @@
+package program
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"log"
+	"net"
+	"os"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"quincerail.example/quincerail/protocol/handover"
+	"quincerail.example/quincerail/protocol/lines"
+	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/transport"
+)
+
+const (
+	meetWithin = 5 * time.Second       // the platform waits 6 s for a new process
+	meetAgain  = 50 * time.Millisecond // between two tries
+	meetConns  = 2                     // the successor, and one that is told to come again
+	flushIn    = 200 * time.Millisecond
+)
+
+// handoverDoor is where the processes of one app server meet while a new one takes
+// over from the old: a socket in the folder for temporary files, which they share.
+type handoverDoor struct {
+	core *routing.Core
+	path string
+
+	mu        sync.Mutex
+	successor *peer
+}
+
+// peer is the other process.
+type peer struct {
+	conn  *transport.Conn
+	met   chan struct{} // closed once all keys are known
+	ended chan struct{} // closed with the connection
+}
+
+func newHandoverDoor(core *routing.Core, name string) *handoverDoor {
+	return &handoverDoor{core: core, path: filepath.Join(os.TempDir(), fmt.Sprintf("quincerail-%s.sock", name))}
+}
+
+func newPeer(nc net.Conn) *peer {
+	return &peer{conn: transport.NewConn(nc), met: make(chan struct{}), ended: make(chan struct{})}
+}
+
+// meet looks for a process to take over from, nil if there is none, and waits
+// until all of its keys are known.
+func (h *handoverDoor) meet(ctx context.Context) *peer {
+	ctx, cancel := context.WithTimeout(ctx, meetWithin)
+	defer cancel()
+	for tried := false; ctx.Err() == nil; tried = true {
+		nc, err := (&net.Dialer{}).DialContext(ctx, "unix", h.path)
+		if err == nil {
+			p := newPeer(nc)
+			go h.serve(p, true)
+			select {
+			case <-p.met:
+				return p
+			case <-p.ended: // it hands over to another, or ends
+			case <-ctx.Done():
+				p.conn.Cut()
+				<-p.ended
+			}
+		} else if !tried {
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(meetAgain):
+		}
+	}
+	log.Printf("event=handover_failed path=%s", h.path)
+	return nil
+}
+
+// open has the next process find this one.
+func (h *handoverDoor) open() (*transport.Server, error) {
+	own := fmt.Sprintf("%s.%d", h.path, os.Getpid())
+	os.Remove(own)
+	l, err := net.Listen("unix", own)
+	if err != nil {
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	l.(*net.UnixListener).SetUnlinkOnClose(false) // by then the name may be another's
+	if err := os.Rename(own, h.path); err != nil {
+		l.Close()
+		return nil, fmt.Errorf("handover: %w", err)
+	}
+	return transport.NewServer(l, meetConns, h.welcome, func() {}), nil
+}
+
+// welcome works the connection of a process that takes over from this one.
+func (h *handoverDoor) welcome(c *transport.Conn) {
+	p := &peer{conn: c, met: make(chan struct{}), ended: make(chan struct{})}
+	h.mu.Lock()
+	taken := h.successor != nil
+	if !taken {
+		h.successor = p
+	}
+	h.mu.Unlock()
+	if taken { // it comes again when the one before it is alone
+		c.Cut()
+		return
+	}
+	h.serve(p, false)
+	h.mu.Lock()
+	h.successor = nil
+	h.mu.Unlock()
+}
+
+// takenOver gives the process that is ready to take the requests to come, nil if
+// there is none.
+func (h *handoverDoor) takenOver() *peer {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if p := h.successor; p != nil {
+		select {
+		case <-p.met:
+			return p
+		default:
+		}
+	}
+	return nil
+}
+
+var errOutOfTurn = errors.New("not for this side to say")
+
+// serve works the connection to a peer until it ends.
+func (h *handoverDoor) serve(p *peer, elder bool) {
+	defer close(p.ended)
+	h.core.Meet(p, elder)
+	if elder {
+		p.conn.Send(handover.AppendNext(nil))
+	}
+	met := false
+	err := p.conn.Serve(func(r *bufio.Reader) error {
+		m, err := handover.Read(r)
+		if err != nil {
+			return err
+		}
+		switch {
+		case m.Kind == handover.Key:
+			h.core.Learn(p, m.State)
+		case m.Kind == handover.Claim && !elder:
+			h.core.Claimed(p, m.State)
+		case m.Kind == handover.Next && !elder:
+			h.core.TellKeys(p)
+		case m.Kind == handover.Part && elder && !m.Last:
+			p.conn.Send(handover.AppendNext(nil))
+		case m.Kind == handover.Part && elder && !met:
+			met = true
+			if m.Away {
+				h.core.SendAway(true, func() {})
+			}
+			close(p.met)
+		case (m.Kind == handover.Grant || m.Kind == handover.Deny) && elder:
+			h.core.Settled(p, m.Ran, m.Kind == handover.Grant)
+		default:
+			return fmt.Errorf("%w: %s: %w", lines.ErrBroken, m.Kind, errOutOfTurn)
+		}
+		return nil
+	})
+	log.Printf("event=peer_gone elder=%t reason=%q", elder, fmt.Sprint(err))
+	h.core.Parted(p)
+}
+
+// Tell implements routing.Peer.
+func (p *peer) Tell(k routing.KeyState) { p.conn.Send(handover.AppendKey(nil, k)) }
+
+// Claim implements routing.Peer.
+func (p *peer) Claim(k routing.KeyState) { p.conn.Send(handover.AppendClaim(nil, k)) }
+
+// Settle implements routing.Peer.
+func (p *peer) Settle(ran string, granted bool) {
+	p.conn.Send(handover.AppendSettle(nil, ran, granted))
+}
+
+// Part implements routing.Peer.
+func (p *peer) Part(last, away bool) {
+	p.conn.Send(handover.AppendPart(nil, last, away))
+	if last {
+		select {
+		case <-p.met:
+		default:
+			close(p.met) // only the core's goroutine gets here
+		}
+	}
+}
+
+// leave ends the connection once all is said.
+func (p *peer) leave() {
+	p.conn.Close()
+	select {
+	case <-p.ended:
+	case <-time.After(flushIn):
+	}
+}
--- a/program/program.go
+++ b/program/program.go
@@ -19,6 +19,7 @@
 	leaveWithin = time.Second            // after leaving was said, until an idle connection is closed
 	sweepLeast  = 20 * time.Millisecond  // between two looks for idle connections
 	sweepMost   = 500 * time.Millisecond // likewise
+	leaveAgain  = 100 * time.Millisecond // between two looks whom to take leave of, when another takes over
 	exitMargin  = 120 * time.Millisecond // before the kill, when all has been answered
 	heapShare   = 0.75                   // of the memory is for the heap
 	keysShare   = 8                      // one part in so many of the memory is for kept results
@@ -59,6 +60,9 @@
 	idle     *idleLimit
 	doors    []door            // the first is the platform's
 	control  *transport.Server // where operators call; may be nil
+	handover *handoverDoor     // nil where the listening socket is not inherited
+	serving  atomic.Bool
+	quiet    context.CancelFunc // ends the reports
 	stop     context.CancelFunc
 }
 
@@ -91,7 +95,7 @@
 			s.doors[0].server.Close()
 			return nil, fmt.Errorf("control: %w", err)
 		}
-		s.control = transport.NewServer(l, controlConns, (&controlDoor{core}).serve, func() {})
+		s.control = transport.NewServer(l, controlConns, (&controlDoor{core, &s.serving}).serve, func() {})
 	}
 	if u != nil {
 		s.backend = newUWSGIBackend(core, u.Backend)
@@ -108,13 +112,43 @@
 	s.stop = stop
 	go core.Run(working)
 	go link.link.Run(working)
-	go presence.run(working, c.Announce)
 	go s.sweep(working)
+	if c.ListenFD == 0 {
+		s.open(working, c)
+	} else {
+		s.handover = newHandoverDoor(core, c.Name)
+		go s.takeOver(working, c)
+	}
+	return s, nil
+}
+
+// open lets callers in.
+func (s *Server) open(ctx context.Context, c *Config) {
+	ctx, s.quiet = context.WithCancel(ctx)
+	go s.presence.run(ctx, c.Announce)
 	for _, d := range s.doors {
 		go d.server.Run()
 		log.Printf("event=listening name=%s address=%s", c.Name, d.server.Addr())
 	}
-	return s, nil
+	s.serving.Store(true)
+}
+
+// takeOver lets callers in once the keys are known of the process that serves on
+// the same socket, if there is one. When that has ended, the next may find this one.
+func (s *Server) takeOver(ctx context.Context, c *Config) {
+	elder := s.handover.meet(ctx)
+	s.open(ctx, c)
+	if elder != nil {
+		<-elder.ended
+	}
+	server, err := s.handover.open()
+	if err != nil { // it serves, but its successor won't know its keys
+		log.Printf("event=handover_failed error=%q", err)
+		return
+	}
+	stop := context.AfterFunc(ctx, server.Close)
+	server.Run()
+	stop()
 }
 
 // listen opens a front's listener, or takes over the one that fd is if it is not 0.
@@ -203,6 +237,12 @@
 // have closed their connections, or just before the process is killed.
 func (s *Server) Drain() {
 	defer s.stop()
+	if s.handover != nil {
+		if p := s.handover.takenOver(); p != nil {
+			s.handOver(p)
+			return
+		}
+	}
 	config := s.config.Load()
 	stopAt := time.Now().Add(config.Stop)
 	log.Printf("event=drain stop_in=%v", config.Stop)
@@ -230,3 +270,41 @@
 	}
 	log.Printf("event=stopped connections=closed")
 }
+
+// handOver leaves the requests to come to a process that serves on the same socket,
+// and returns when all that is open here is answered and the callers have closed
+// their connections, or just before this process is killed. It says nothing of
+// leaving to the announce service: the other one's word holds.
+func (s *Server) handOver(p *peer) {
+	config := s.config.Load()
+	stopAt := time.Now().Add(config.Stop)
+	settled := s.core.HandOver(stopAt)
+	s.quiet()
+	for _, d := range s.doors {
+		d.server.Close()
+	}
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		for _, d := range s.doors {
+			<-d.server.Empty()
+		}
+		<-settled
+	}()
+	last := time.After(time.Until(stopAt) - exitMargin)
+	for again := time.Tick(leaveAgain); ; {
+		for _, d := range s.doors {
+			d.front.leave() // also of connections that were let in last
+		}
+		select {
+		case <-again:
+			continue
+		case <-done:
+			log.Printf("event=stopped connections=closed")
+		case <-last:
+			log.Printf("event=stopped connections=open")
+		}
+		break
+	}
+	p.leave()
+}
--- /dev/null
+++ b/protocol/handover/handover.go
@@ -0,0 +1,135 @@
+// Package handover is the codec between two processes of one app server while
+// the younger takes over from the elder. It takes no decisions.
+package handover
+
+import (
+	"bufio"
+	"encoding/hex"
+	"fmt"
+	"strconv"
+	"time"
+
+	"quincerail.example/quincerail/protocol/lines"
+	"quincerail.example/quincerail/routing"
+)
+
+// Kind is the first word of a message.
+type Kind string
+
+// The messages.
+const (
+	Key   Kind = "key"   // both: what has become of a key
+	Claim Kind = "claim" // the younger: may this try run?
+	Grant Kind = "grant" // the elder: it may
+	Deny  Kind = "deny"  // the elder: it may not
+	Next  Kind = "next"  // the younger: the next part of the keys, please
+	Part  Kind = "part"  // the elder: a part has been told
+)
+
+// Message is a message that was read.
+type Message struct {
+	Kind       Kind
+	State      routing.KeyState // of key and claim
+	Ran        string           // of grant and deny
+	Last, Away bool             // of part
+}
+
+// none stands for an id that there is none of.
+const none = "-"
+
+// Read reads the next message. It may be called again after an interrupted read.
+func Read(r *bufio.Reader) (Message, error) {
+	words, body, err := lines.Read(r, func(w []string) bool { return Kind(w[0]) == Key && len(w) == 7 })
+	if err != nil {
+		return Message{}, err
+	}
+	m := Message{Kind: Kind(words[0])}
+	broken := fmt.Errorf("%w: message %q", lines.ErrBroken, words)
+	if len(words) < map[Kind]int{Key: 6, Claim: 6, Grant: 2, Deny: 2, Next: 1, Part: 3}[m.Kind] {
+		return m, broken
+	}
+	moment := func(word string) time.Time {
+		ns, e := strconv.ParseInt(word, 10, 64)
+		if e != nil {
+			err = broken
+		}
+		return time.Unix(0, ns)
+	}
+	truth := func(word string) bool {
+		b, e := strconv.ParseBool(word)
+		if e != nil {
+			err = broken
+		}
+		return b
+	}
+	switch m.Kind {
+	case Key, Claim:
+		key, e := hex.DecodeString(words[1])
+		hash, e2 := strconv.ParseUint(words[2], 16, 64)
+		if e != nil || e2 != nil {
+			return m, broken
+		}
+		m.State = routing.KeyState{Key: string(key), Body: hash, Ran: words[3], Till: moment(words[4])}
+		if m.State.Ran == none {
+			m.State.Ran = ""
+		}
+		if m.Kind == Claim {
+			m.State.Door = moment(words[5])
+		} else {
+			m.State.Over = truth(words[5])
+		}
+		if body != nil {
+			m.State.Result = &routing.Payload{Body: body}
+		}
+	case Grant, Deny:
+		m.Ran = words[1]
+	case Part:
+		m.Last, m.Away = truth(words[1]), truth(words[2])
+	case Next:
+	default:
+		err = broken
+	}
+	return m, err
+}
+
+func words(kind Kind, k routing.KeyState, last string) []string {
+	ran := k.Ran
+	if ran == "" {
+		ran = none
+	}
+	return []string{string(kind), hex.EncodeToString([]byte(k.Key)), strconv.FormatUint(k.Body, 16), ran,
+		strconv.FormatInt(k.Till.UnixNano(), 10), last}
+}
+
+// AppendKey appends what has become of a key. A result that the form has no room
+// for is left out; its repeats fail then.
+func AppendKey(to []byte, k routing.KeyState) []byte {
+	var body []byte
+	if r := k.Result; r != nil && len(r.Fields) == 0 && len(r.Body) <= lines.MaxBody {
+		body = append([]byte{}, r.Body...)
+	}
+	return lines.Append(to, body, words(Key, k, strconv.FormatBool(k.Over))...)
+}
+
+// AppendClaim appends the question whether a try may run.
+func AppendClaim(to []byte, k routing.KeyState) []byte {
+	return lines.Append(to, nil, words(Claim, k, strconv.FormatInt(k.Door.UnixNano(), 10))...)
+}
+
+// AppendSettle appends the answer to that.
+func AppendSettle(to []byte, ran string, granted bool) []byte {
+	kind := Deny
+	if granted {
+		kind = Grant
+	}
+	return lines.Append(to, nil, string(kind), ran)
+}
+
+// AppendNext appends the wish for the next part of the keys.
+func AppendNext(to []byte) []byte { return lines.Append(to, nil, string(Next)) }
+
+// AppendPart appends that a part of the keys has been told, whether it was the
+// last, and whether operators have callers sent away.
+func AppendPart(to []byte, last, away bool) []byte {
+	return lines.Append(to, nil, string(Part), strconv.FormatBool(last), strconv.FormatBool(away))
+}
--- /dev/null
+++ b/protocol/handover/handover_test.go
@@ -0,0 +1,60 @@
+package handover
+
+import (
+	"bufio"
+	"bytes"
+	"reflect"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"quincerail.example/quincerail/protocol/lines"
+	"quincerail.example/quincerail/routing"
+)
+
+// TestRoundTrip reads what was written, in pieces of any size. A result that has
+// fields, or is too large, is left out.
+func TestRoundTrip(t *testing.T) {
+	till := time.Unix(1764576000, 123456789)
+	ran := routing.KeyState{Key: "ny-gava\x00k \r\n", Body: 1 << 63, Ran: "9b1f03aa5c7e2d41", Till: till, Over: true,
+		Result: &routing.Payload{Body: []byte("a\r\nb")}}
+	empty, free, claim := ran, routing.KeyState{Key: "k", Till: till, Over: true}, ran
+	empty.Result = &routing.Payload{Body: []byte{}}
+	claim.Result, claim.Over, claim.Door = nil, false, till.Add(-time.Second)
+	unsaid, large := ran, ran
+	unsaid.Result = nil
+	large.Result = &routing.Payload{Body: make([]byte, lines.MaxBody+1)}
+	fields := ran
+	fields.Result = &routing.Payload{Fields: []routing.Field{{Name: ":status", Value: "200"}}}
+	for _, x := range []struct {
+		bytes []byte
+		want  Message
+	}{
+		{AppendKey(nil, ran), Message{Kind: Key, State: ran}},
+		{AppendKey(nil, empty), Message{Kind: Key, State: empty}},
+		{AppendKey(nil, free), Message{Kind: Key, State: free}},
+		{AppendKey(nil, large), Message{Kind: Key, State: unsaid}},
+		{AppendKey(nil, fields), Message{Kind: Key, State: unsaid}},
+		{AppendClaim(nil, claim), Message{Kind: Claim, State: claim}},
+		{AppendSettle(nil, "r", true), Message{Kind: Grant, Ran: "r"}},
+		{AppendSettle(nil, "r", false), Message{Kind: Deny, Ran: "r"}},
+		{AppendNext(nil), Message{Kind: Next}},
+		{AppendPart(nil, true, false), Message{Kind: Part, Last: true}},
+		{AppendPart(nil, false, true), Message{Kind: Part, Away: true}},
+	} {
+		r := bufio.NewReaderSize(iotest.OneByteReader(bytes.NewReader(x.bytes)), 16<<10)
+		if got, err := Read(r); err != nil || !reflect.DeepEqual(got, x.want) {
+			t.Errorf("%q: %+v, %v, want %+v", x.bytes, got, err, x.want)
+		}
+	}
+}
+
+func TestBroken(t *testing.T) {
+	for _, text := range []string{"sing\r\n", "key\r\n", "key zz 1 r 1 true\r\n", "key 00 zz r 1 true\r\n", "key 00 1 r x true\r\n",
+		"key 00 1 r 1 maybe\r\n", "claim 00 1 r 1 x\r\n", "part 1\r\n", "grant\r\n", "key 00 1 r 1 true 99999999\r\n"} {
+		if m, err := Read(bufio.NewReader(strings.NewReader(text))); err == nil {
+			t.Errorf("%q: %+v", text, m)
+		}
+	}
+}
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -1,7 +1,8 @@
 package routing
 
 import (
-	"hash/maphash"
+	"crypto/sha256"
+	"encoding/binary"
 	"time"
 
 	"quincerail.example/quincerail/policy"
@@ -12,12 +13,13 @@
 func (c *Core) admit(a *attempt) {
 	earlier := ""
 	if a.Key != "" {
-		body := maphash.Bytes(c.bodies, a.Payload.Body)
-		if !c.keys.matches(a.Key, body, a.door) { // its result is not for this caller
+		sum := sha256.Sum256(a.Payload.Body) // the same in every process, and none can be made to fit
+		a.body = binary.BigEndian.Uint64(sum[:])
+		if !c.keys.matches(a.Key, a.body, a.door) { // its result is not for this caller
 			c.book(a, Outcome{Kind: Rejected})
 			return
 		}
-		earlier = c.keys.enter(a, body)
+		earlier = c.keys.enter(a)
 	}
 	c.module.Request(c.now, policy.Request{
 		ID: a.ID, Class: a.class, Key: a.Item, HeldKB: a.HeldKB, Rank: a.Rank, From: a.Caller,
--- a/routing/book.go
+++ b/routing/book.go
@@ -20,7 +20,7 @@
 func (c *Core) answerOverdue() {
 	late := c.set.AnswerSlack * 3 / 4 // the module's own guard comes at half of it
 	for id, a := range c.attempts {
-		if !a.answered && (c.now > a.due+late || c.draining && c.now > c.stopAt) {
+		if !a.answered && (c.now > a.due+late || c.stopAt != 0 && c.now > c.stopAt) {
 			c.book(a, c.failure(a))
 			c.module.Gone(c.now, id)
 		}
@@ -54,4 +54,5 @@
 	case Unborn:
 		c.keys.unclaim(a)
 	}
+	c.tellPeer(a.entry, true)
 }
--- a/routing/core.go
+++ b/routing/core.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"hash/maphash"
 	"log"
 	"sync/atomic"
 	"time"
@@ -49,12 +48,15 @@
 	now       time.Duration // Unix time of the batch
 	attempts  map[string]*attempt
 	keys      *keyTable
-	followUps []func()     // events that the module's own actions bring
-	bodies    maphash.Seed // tells the bodies of one key apart
+	followUps []func() // events that the module's own actions bring
 	gauges    policy.Gauges
-	fit       bool // health as the module sets it
-	stored    bool // checks are answered from it alone
-	away      bool // operators have its callers sent away
+	fit       bool          // health as the module sets it
+	stored    bool          // checks are answered from it alone
+	away      bool          // operators have its callers sent away
+	peer      Peer          // nil where this process is alone
+	elder     bool          // the peer was there first
+	untold    []*entry      // keys that a peer which has just come has not been told of
+	settled   chan struct{} // closed once nothing is open; nil where nobody waits for that
 	draining  bool
 	stopAt    time.Duration
 }
@@ -62,7 +64,7 @@
 // New makes a core. The error names the setting that makes no sense.
 func New(opt Options) (*Core, error) {
 	c := &Core{opt: opt, events: make(chan func(), mailbox),
-		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true, bodies: maphash.MakeSeed(),
+		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true,
 		gauges: policy.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}}
 	if err := c.retune(opt.Settings, opt.Classes); err != nil {
 		return nil, err
@@ -114,6 +116,10 @@
 		}
 	}
 	c.keys.expire(c.now)
+	if c.settled != nil && len(c.attempts) == 0 {
+		close(c.settled)
+		c.settled = nil
+	}
 }
 
 // post leaves an event for Run.
--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -23,6 +23,7 @@
 // by which the rules are judged.
 type party struct {
 	*Core
+	younger  *Core                // takes over from the core, if there is one
 	mu       sync.Mutex           // the test holds it but for its waits
 	begun    map[string]time.Time // runs that have not ended, by request
 	runs     map[string]int
@@ -66,7 +67,7 @@
 	p.stopped = append(p.stopped, id)
 	if _, ok := p.begun[id]; ok {
 		delete(p.begun, id)
-		go p.Completed(id, Cut, 0, Payload{})
+		go p.each(func(c *Core) { c.Completed(id, Cut, 0, Payload{}) })
 	}
 }
 
@@ -129,17 +130,24 @@
 	p := &party{begun: make(map[string]time.Time), runs: make(map[string]int), answers: make(map[string][]Outcome),
 		answered: make(map[string]time.Time), asked: make(map[string]int), resumed: make(map[string]string),
 		gaveUp: make(map[string]time.Time)}
+	var ctx context.Context
+	ctx, p.cancel = context.WithCancel(t.Context())
+	p.Core = p.start(t, ctx)
+	p.mu.Lock()
+	p.wait()
+	return p
+}
+
+// start sets a core to work.
+func (p *party) start(t *testing.T, ctx context.Context) *Core {
+	t.Helper()
 	core, err := New(Options{Settings: settings(), Classes: []string{"read", "gift", "receipt"}, Seed: 1, Backend: p, Dependency: p, Presence: p})
 	if err != nil {
 		t.Fatal(err)
 	}
-	ctx, cancel := context.WithCancel(t.Context())
-	p.Core, p.cancel = core, cancel
 	go core.Run(ctx)
 	core.Started(false, 0)
-	p.mu.Lock()
-	p.wait()
-	return p
+	return core
 }
 
 // end stops the core, and lets what is left of its timers go.
@@ -149,9 +157,22 @@
 	p.mu.Unlock()
 }
 
+// each does something with every core. What one does not know of it passes over.
+func (p *party) each(do func(*Core)) {
+	do(p.Core)
+	if p.younger != nil {
+		do(p.younger)
+	}
+}
+
 func (p *party) submit(t *testing.T, id, class, key string) {
 	t.Helper()
-	err := p.Submit(Request{ID: id, Class: class, Key: key, Door: time.Now(), HeldKB: 20, Sink: sink{p}})
+	p.submitTo(t, p.Core, id, class, key)
+}
+
+func (p *party) submitTo(t *testing.T, c *Core, id, class, key string) {
+	t.Helper()
+	err := c.Submit(Request{ID: id, Class: class, Key: key, Door: time.Now(), HeldKB: 20, Sink: sink{p}})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -160,7 +181,7 @@
 
 func (p *party) complete(id string, end End, body string) {
 	delete(p.begun, id)
-	p.Completed(id, end, time.Second, Payload{Body: []byte(body)})
+	p.each(func(c *Core) { c.Completed(id, end, time.Second, Payload{Body: []byte(body)}) })
 	p.wait()
 }
 
@@ -406,7 +427,7 @@
 	var first *entry
 	for i := range 8 {
 		a := &attempt{Request: Request{ID: fmt.Sprint(i), Key: fmt.Sprint("k", i)}}
-		table.enter(a, 0)
+		table.enter(a)
 		table.claim(a, testWindow)
 		table.store(a.entry, Payload{Body: make([]byte, entryBytes)})
 		if i == 0 {
@@ -432,6 +453,9 @@
 	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
 		p := newParty(t)
 		defer p.end()
+		if s.Pick(2) == 1 {
+			p.meet(t)
+		}
 		type try struct {
 			key  string
 			door time.Time
@@ -452,7 +476,11 @@
 					class, key = "gift", fmt.Sprintf("k%d", s.Pick(3))
 				}
 				order, tries[id] = append(order, id), &try{key: key, door: time.Now()}
-				p.submit(t, id, class, key)
+				core := p.Core
+				if p.younger != nil && s.Pick(2) == 1 {
+					core = p.younger
+				}
+				p.submitTo(t, core, id, class, key)
 			case 3:
 				if runs {
 					p.complete(id, End(s.Pick(3)), "result of "+id)
@@ -461,26 +489,27 @@
 				if x := tries[id]; x != nil && len(p.answers[id]) == 0 {
 					x.gone = true
 					if s.Pick(2) == 0 {
-						p.Gone(id, sink{p})
+						p.each(func(c *Core) { c.Gone(id, sink{p}) })
 					} else {
-						p.Lost(id, sink{p})
+						p.each(func(c *Core) { c.Lost(id, sink{p}) })
 					}
 				}
 			case 5:
 				if runs {
 					notice++
-					p.Asked(id, notice, []byte("call"))
+					p.each(func(c *Core) { c.Asked(id, notice, []byte("call")) })
 				}
 			case 6:
 				if n := p.asked[id]; n != 0 {
 					delete(p.asked, id)
-					p.Called(id, n, policy.Outcome(s.Pick(6)), []byte("reply"))
+					end := policy.Outcome(s.Pick(6))
+					p.each(func(c *Core) { c.Called(id, n, end, []byte("reply")) })
 				}
 			case 7:
 				p.sleep(time.Duration(1+s.Pick(200)) * 10 * time.Millisecond)
 				if s.Pick(40) == 0 && drainedAt.IsZero() {
 					drainedAt = time.Now()
-					p.Drain(drainedAt.Add(30 * time.Second))
+					p.each(func(c *Core) { c.Drain(drainedAt.Add(30 * time.Second)) })
 				}
 			}
 			p.wait()
--- a/routing/keys.go
+++ b/routing/keys.go
@@ -19,6 +19,7 @@
 	ran    string // id of the try that was run
 	till   time.Duration
 	over   bool     // what holds the key has ended
+	remote bool     // it runs in a peer
 	result *Payload // of the run, if it went well
 	size   int
 	joined []*attempt // repeats that wait for it to end
@@ -53,14 +54,9 @@
 
 // enter links a new try to its key and names the try that it repeats: one that
 // has run within the window, or one that is still held.
-func (t *keyTable) enter(a *attempt, body uint64) (earlier string) {
-	e := t.entries[a.Key]
-	if e == nil {
-		e = &entry{key: a.Key, over: true}
-		t.entries[a.Key] = e
-		t.bytes += entryBytes
-	}
-	e.body = body
+func (t *keyTable) enter(a *attempt) (earlier string) {
+	e := t.entry(a.Key)
+	e.body = a.body
 	a.entry = e
 	e.live++
 	if e.ranFor(a.door) {
@@ -73,6 +69,42 @@
 	return ""
 }
 
+// entry gives a key's entry, a new one where there is none.
+func (t *keyTable) entry(key string) *entry {
+	e := t.entries[key]
+	if e == nil {
+		e = &entry{key: key, over: true}
+		t.entries[key] = e
+		t.bytes += entryBytes
+	}
+	return e
+}
+
+// state is what a peer is told of an entry.
+func (e *entry) state() KeyState {
+	return KeyState{Key: e.key, Body: e.body, Ran: e.ran, Till: time.Unix(0, int64(e.till)), Over: e.over, Result: e.result}
+}
+
+// learn takes over what a peer tells of a key. It gives the repeats that waited
+// for a run which has ended.
+func (t *keyTable) learn(k KeyState) (e *entry, joined []*attempt) {
+	e = t.entry(k.Key)
+	t.drop(e)
+	e.body, e.holder, e.ran, e.till = k.Body, k.Ran, k.Ran, time.Duration(k.Till.UnixNano())
+	e.over = k.Over || k.Ran == ""
+	e.remote = !e.over
+	if k.Result != nil {
+		t.store(e, *k.Result)
+	}
+	if e.over {
+		joined, e.joined = e.joined, nil
+	}
+	if e.live == 0 && e.ran == "" {
+		t.remove(e)
+	}
+	return e, joined
+}
+
 // keep makes a try the one that holds its key, where none that ran does.
 func (t *keyTable) keep(a *attempt) {
 	if e := a.entry; !e.ranFor(a.door) && e.over {
@@ -87,7 +119,7 @@
 		return false
 	}
 	t.drop(e)
-	e.holder, e.ran, e.over = a.ID, a.ID, false
+	e.holder, e.ran, e.over, e.remote = a.ID, a.ID, false, false
 	e.till = a.door + window + windowSlack
 	return true
 }
--- /dev/null
+++ b/routing/peer_test.go
@@ -0,0 +1,150 @@
+package routing
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"time"
+)
+
+// wire is a peer that hands on all it is told at once. far knows this side as back.
+type wire struct {
+	far  *Core
+	back *wire
+}
+
+// Tell implements Peer.
+func (w *wire) Tell(k KeyState) { w.far.Learn(w.back, k) }
+
+// Claim implements Peer.
+func (w *wire) Claim(k KeyState) { w.far.Claimed(w.back, k) }
+
+// Settle implements Peer.
+func (w *wire) Settle(ran string, granted bool) { w.far.Settled(w.back, ran, granted) }
+
+// Part implements Peer.
+func (w *wire) Part(last, _ bool) {
+	if !last {
+		w.back.far.TellKeys(w)
+	}
+}
+
+// meet has a younger core come beside the party's and learn its keys.
+func (p *party) meet(t *testing.T) (toElder, toYounger *wire) {
+	t.Helper()
+	ctx, cancel := context.WithCancel(t.Context())
+	p.younger = p.start(t, ctx)
+	old := p.cancel
+	p.cancel = func() { old(); cancel() }
+	toElder, toYounger = &wire{far: p.Core}, &wire{far: p.younger}
+	toElder.back, toYounger.back = toYounger, toElder
+	p.Meet(toYounger, false)
+	p.younger.Meet(toElder, true)
+	p.TellKeys(toYounger)
+	p.wait()
+	return toElder, toYounger
+}
+
+// TestTakeOver guards rule 2 while one process takes over from another: a key
+// that ran or runs in one, or that both are about to run, never runs in the other,
+// whose tries get its result.
+func TestTakeOver(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		for i := range 2*snapshotPart + 1 {
+			id := fmt.Sprint("before", i)
+			p.submit(t, id, "gift", "key of "+id)
+			p.complete(id, Good, "thanks "+id)
+		}
+		p.submit(t, "elder's", "gift", "k")
+		toElder, toYounger := p.meet(t)
+		for i := range 2*snapshotPart + 1 {
+			id, again := fmt.Sprint("before", i), fmt.Sprint("again", i)
+			p.submitTo(t, p.younger, again, "gift", "key of "+id)
+			p.wantAnswer(t, again, Served, "thanks "+id)
+		}
+		p.submitTo(t, p.younger, "its repeat", "gift", "k")
+		p.complete("elder's", Good, "thanks")
+		p.wantAnswer(t, "its repeat", Served, "thanks")
+
+		p.submitTo(t, p.younger, "younger's", "gift", "l")
+		p.submit(t, "repeat of that", "gift", "l")
+		p.complete("younger's", Bad, "")
+		p.wantAnswer(t, "repeat of that", Failed, "")
+
+		for id, core := range map[string]*Core{"one": p.Core, "other": p.younger} { // at the same moment
+			core.Submit(Request{ID: id, Class: "gift", Key: "m", Door: time.Now(), HeldKB: 20, Sink: sink{p}})
+		}
+		p.wait()
+		if p.runs["one"]+p.runs["other"] != 1 {
+			t.Errorf("%d runs by one, %d by the other", p.runs["one"], p.runs["other"])
+		}
+		p.complete("one", Good, "thanks")
+		p.complete("other", Good, "thanks")
+		p.wantAnswer(t, "one", Served, "thanks")
+		p.wantAnswer(t, "other", Served, "thanks")
+
+		p.submitTo(t, p.younger, "unborn", "gift", "n")
+		p.complete("unborn", Unborn, "")
+		p.submit(t, "born", "gift", "n")
+		if p.runs["born"] != 1 {
+			t.Error("a key that never ran is kept from running")
+		}
+
+		p.submit(t, "hangs", "gift", "o")
+		p.submitTo(t, p.younger, "waits", "gift", "o")
+		p.younger.Parted(toElder)
+		p.Parted(toYounger)
+		p.wait()
+		p.wantAnswer(t, "waits", Failed, "")
+		p.submitTo(t, p.younger, "alone", "gift", "p")
+		if p.runs["alone"] != 1 {
+			t.Error("it waits for a peer that has gone")
+		}
+	})
+}
+
+// TestClaimWithdrawn guards a try that waits for the elder's word: one that is
+// given up before it comes is not begun, and one whose elder goes is.
+func TestClaimWithdrawn(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		silent := &wire{far: p.Core} // which does not know of it, and says nothing
+		silent.back = &wire{far: p.Core}
+		p.Meet(silent, true)
+		for _, id := range []string{"gone", "stays"} {
+			p.submit(t, id, "gift", id)
+		}
+		p.Gone("gone", sink{p})
+		p.wait()
+		if len(p.runs) != 0 || len(p.stopped) != 0 {
+			t.Errorf("runs %v, stopped %v before the elder's word", p.runs, p.stopped)
+		}
+		p.Parted(silent)
+		p.wait()
+		if p.runs["gone"] != 0 || p.runs["stays"] != 1 {
+			t.Errorf("runs %v, want that of what is waited for", p.runs)
+		}
+		p.submit(t, "again", "gift", "gone")
+		if p.runs["again"] != 1 {
+			t.Error("a key that never ran is kept from running")
+		}
+	})
+}
+
+// TestHandOverSettles sees when all that was open is done with.
+func TestHandOverSettles(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.submit(t, "a", "read", "")
+		settled := p.HandOver(time.Now().Add(time.Minute))
+		p.wait()
+		select {
+		case <-settled:
+			t.Error("settled with a request open")
+		default:
+		}
+		p.complete("a", Good, "page")
+		<-settled
+		if last := p.present[len(p.present)-1]; !last {
+			t.Error("callers are sent away")
+		}
+	})
+}
--- a/routing/relay.go
+++ b/routing/relay.go
@@ -78,7 +78,7 @@
 		return
 	}
 	outcome := policy.Errored
-	if e != nil && e.result != nil {
+	if e != nil && e.result != nil && e.body == a.body {
 		outcome = policy.OK
 		c.book(a, Outcome{Kind: Served, Result: *e.result})
 	} else {
--- a/routing/route.go
+++ b/routing/route.go
@@ -16,12 +16,22 @@
 		h.Reuse(id)
 		return
 	}
+	if a.entry != nil && h.peer != nil && h.elder {
+		a.begun, a.claiming = true, true
+		k := a.entry.state()
+		k.Door = time.Unix(0, int64(a.door))
+		h.peer.Claim(k)
+		return
+	}
+	if a.entry != nil {
+		h.tellPeer(a.entry, false)
+	}
 	h.send(a)
 }
 
 // Halt has a run stopped.
 func (h host) Halt(id string) {
-	if a := h.attempts[id]; a != nil && a.begun {
+	if a := h.attempts[id]; a != nil && a.begun && !a.claiming {
 		a.backend.Interrupt(id)
 	}
 }
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -9,6 +9,9 @@
 	"quincerail.example/quincerail/policy"
 )
 
+// maxKey bounds a key with its class's name: the table counts on it, and peers are told of it.
+const maxKey = 320
+
 // attempt is one try of a request and what became of it.
 type attempt struct {
 	Request
@@ -17,8 +20,10 @@
 	door     time.Duration
 	due      time.Duration
 	backend  Backend
-	answered bool // it has its one answer, or none is owed
-	begun    bool // its run was begun and has not ended
+	answered bool   // it has its one answer, or none is owed
+	begun    bool   // its run was begun and has not ended
+	claiming bool   // it is begun once the peer that was there first lets it
+	body     uint64 // keyed: hash of what it brings
 	call     *call
 	calls    int    // made for it so far
 	entry    *entry // of a keyed request
@@ -48,6 +53,9 @@
 	} else { // a key of one class says nothing of another's
 		r.Key = r.Class + "\x00" + r.Key
 	}
+	if len(r.Key) > maxKey {
+		return fmt.Errorf("a key of %d bytes, %d at most", len(r.Key), maxKey)
+	}
 	if r.ID == "" || !(r.HeldKB > 0) {
 		return fmt.Errorf("id %q, memory %v: both are needed", r.ID, r.HeldKB)
 	}
