Report a change at once even while a report to the announce service has no answer

Ruled out: dialling (loopback, under 1 ms) and the ticker (700 ms, but a change does not wait for it).

Changed: a change or a move ends the wait for an answer, as the report before it counts once it has arrived, and the next goes over a new connection. An integration test also has a new process take over from an old one: TestUpgrade.

--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -47,6 +47,7 @@
 	announce  *standin.Announce
 	thrift    string // addresses
 	uwsgi     string
+	control   string
 	exited    chan error
 }
 
@@ -77,9 +78,16 @@
 	return path
 }
 
-var listening = regexp.MustCompile(`event=listening name=\S+ address=(\S+)`)
+var listening = regexp.MustCompile(`event=(listening name=\S+|control) address=(\S+)`)
 
 func start(t *testing.T) *node {
+	t.Helper()
+	return startOn(t, nil, "")
+}
+
+// startOn starts a node with both fronts, or one that inherits its listening
+// socket and shares a folder with others.
+func startOn(t *testing.T, socket *os.File, shared string) *node {
 	t.Helper()
 	n := &node{work: standin.NewWork(0), exited: make(chan error, 1)}
 	var err error
@@ -93,6 +101,9 @@
 	must(t, 0, err)
 	n.addresses = map[string]any{"listen": anyPort, "processor": n.processor.Addr(),
 		"ledger": n.ledger.Addr(), "announce": n.announce.Addr()}
+	if socket != nil {
+		n.addresses["control"] = anyPort
+	}
 	n.config = writeConfig(t, n.addresses)
 	front := filepath.Join(t.TempDir(), "uwsgi.toml")
 	text := fmt.Sprintf("listen = %q\nbackend = %q\n", anyPort, app.Addr())
@@ -103,6 +114,10 @@
 
 	n.cmd = exec.Command(binary, "-uwsgi", front)
 	n.cmd.Env = append(os.Environ(), "GW_CONFIG="+n.config)
+	if socket != nil {
+		n.cmd.Args, n.cmd.ExtraFiles = n.cmd.Args[:1], []*os.File{socket}
+		n.cmd.Env = append(n.cmd.Env, "GW_FD=3", "TMPDIR="+shared)
+	}
 	stderr, err := n.cmd.StderrPipe()
 	must(t, 0, err)
 	must(t, 0, n.cmd.Start())
@@ -117,12 +132,14 @@
 	go func() {
 		for lines := bufio.NewScanner(stderr); lines.Scan(); {
 			if m := listening.FindStringSubmatch(lines.Text()); m != nil {
-				addresses <- m[1]
+				addresses <- m[2]
 			}
 		}
 		n.exited <- n.cmd.Wait()
 	}()
-	n.thrift, n.uwsgi = <-addresses, <-addresses
+	if n.thrift, n.uwsgi = <-addresses, <-addresses; socket != nil { // the call's address comes first
+		n.thrift, n.control = n.uwsgi, n.thrift
+	}
 	<-n.processor.Up()
 	return n
 }
@@ -276,6 +293,48 @@
 	}
 }
 
+// TestUpgrade starts a new process beside an old one and ends that: a gift that
+// ran in the old one is served again and never run by the new one, and the old one
+// ends well while it is not the platform that takes it off the list.
+func TestUpgrade(t *testing.T) {
+	l, err := net.Listen("tcp", anyPort)
+	must(t, 0, err)
+	defer l.Close()
+	socket, err := l.(*net.TCPListener).File()
+	must(t, 0, err)
+	defer socket.Close()
+	shared := t.TempDir()
+	old := startOn(t, socket, shared)
+	gift := func(n *node) standin.Outcome { return n.ask(t, standin.Thrift, n.thrift, "ny-gava", "k", "gift") }
+	want := standin.Outcome{Kind: "served", Body: "done: gift"}
+	if got := gift(old); got != want {
+		t.Errorf("the first try: %v", got)
+	}
+	young := startOn(t, socket, shared)
+	nc, err := net.Dial("tcp", young.control)
+	must(t, 0, err)
+	defer nc.Close()
+	fmt.Fprint(nc, "check\r\n")
+	if line, err := bufio.NewReader(nc).ReadString('\n'); err != nil || line != "done\r\n" {
+		t.Errorf("check: %q, %v", line, err)
+	}
+	must(t, 0, old.cmd.Process.Signal(syscall.SIGTERM))
+	if err := <-old.exited; err != nil {
+		t.Errorf("the old process ends with %v", err)
+	}
+	if got := gift(young); got != want {
+		t.Errorf("a further try: %v", got)
+	}
+	if a, b := old.work.Runs("gift"), young.work.Runs("gift"); a != 1 || b != 0 {
+		t.Errorf("%d runs in the old process, %d in the new", a, b)
+	}
+	for len(old.announce.Reports) > 0 {
+		if report := <-old.announce.Reports; strings.Contains(report, "false") {
+			t.Errorf("the old process reports %s", report)
+		}
+	}
+}
+
 // TestBadBytes sees that a broken frame ends its connection and nothing else.
 func TestBadBytes(t *testing.T) {
 	n := start(t)
--- a/program/announce.go
+++ b/program/announce.go
@@ -3,8 +3,10 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"log"
 	"net"
+	"sync"
 	"time"
 
 	"quincerail.example/quincerail/protocol/announce"
@@ -19,14 +21,53 @@
 // works alone: an outage of the service touches nothing else.
 type announcer struct {
 	name    string
+	connect func(address string) (net.Conn, error)
 	changes chan bool
 	moves   chan string
+
+	mu      sync.Mutex
+	waiting net.Conn // for the answer to a report; nil while it does not
 }
 
 func newAnnouncer(name string) *announcer {
-	return &announcer{name: name, changes: make(chan bool, 1), moves: make(chan string, 1)}
+	return &announcer{name: name, changes: make(chan bool, 1), moves: make(chan string, 1),
+		connect: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, reportWithin) }}
+}
+
+// errOverhauled ends the wait for the answer to a report that has newer to follow.
+var errOverhauled = errors.New("there is newer to report")
+
+// hurry ends the wait for an answer: a report counts once it has arrived, and some
+// get none.
+func (a *announcer) hurry() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.waiting != nil {
+		a.waiting.SetReadDeadline(time.Unix(1, 0))
+	}
 }
 
+// await waits for the answer to a report, unless there is newer to report.
+func (a *announcer) await(nc net.Conn, r *bufio.Reader) error {
+	a.mu.Lock()
+	a.waiting = nc
+	newer := a.newer()
+	a.mu.Unlock()
+	var err error
+	if !newer {
+		_, err = announce.ReadStatus(r)
+	}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.waiting = nil
+	if newer || err != nil && a.newer() {
+		return errOverhauled
+	}
+	return err
+}
+
+func (a *announcer) newer() bool { return len(a.changes) > 0 || len(a.moves) > 0 }
+
 // move has reports go to another address. Only the newest counts.
 func (a *announcer) move(address string) {
 	select {
@@ -34,6 +75,7 @@
 	default:
 	}
 	a.moves <- address // only the server's reloads put in, one after the other
+	a.hurry()
 }
 
 // Accepting implements routing.Presence. Only the newest word counts.
@@ -43,6 +85,7 @@
 	default:
 	}
 	a.changes <- on // only the core's goroutine puts in, so there is room
+	a.hurry()
 }
 
 // run reports until ctx ends.
@@ -55,7 +98,7 @@
 	for {
 		err := func() (err error) {
 			if nc == nil {
-				if nc, err = net.DialTimeout("tcp", address, reportWithin); err != nil {
+				if nc, err = a.connect(address); err != nil {
 					return err
 				}
 				r = bufio.NewReader(nc)
@@ -64,14 +107,13 @@
 			if _, err = nc.Write(announce.AppendReport(nil, address, a.name, accepting)); err != nil {
 				return err
 			}
-			_, err = announce.ReadStatus(r)
-			return err
+			return a.await(nc, r)
 		}()
 		if err != nil && nc != nil {
 			nc.Close()
 			nc = nil
 		}
-		if (err != nil) != down {
+		if (err != nil) != down && !errors.Is(err, errOverhauled) {
 			down = err != nil
 			log.Printf("event=announce down=%t error=%q", down, errorText(err))
 		}
--- a/program/program.go
+++ b/program/program.go
@@ -95,6 +95,7 @@
 			s.doors[0].server.Close()
 			return nil, fmt.Errorf("control: %w", err)
 		}
+		log.Printf("event=control address=%s", l.Addr())
 		s.control = transport.NewServer(l, controlConns, (&controlDoor{core, &s.serving}).serve, func() {})
 	}
 	if u != nil {
