Share operators' word and descriptors between two processes, hear an inherited socket to the end

Checked: TestAwayIsShared and TestInherit fail without the change (good checks; a try that is never answered). An empty list of classes was taken for a reload with every class dropped; it is turned down now.

Changed: the peers tell each other what operators said (routing.Follow), the newcomer has three eighths while the other is there (transport.SetLimit), and an inherited socket is heard until the end (program.Drain).

--- a/program/control_test.go
+++ b/program/control_test.go
@@ -154,15 +154,28 @@
 	}
 }
 
-// TestInherit serves on a listening socket that another holds, and leaves it
-// open to that one.
+// TestInherit serves on a listening socket that another holds. In a drain that
+// nobody takes over, what comes after the grace finds the socket open, so it must be
+// let in and turned away: unread, it would be lost.
 func TestInherit(t *testing.T) {
 	held, inherit := hold(t)
-	w := newWorld(t, inherit)
+	w := newWorld(t, func(c *program.Config) { inherit(c); shortGrace(c) })
 	if o := outcome(t, fronts[0].ask(t, w, "kampanjsida", "", "page")); o.Kind != "served" {
 		t.Errorf("over the inherited socket: %s", o.Kind)
 	}
 	if w.Addr().String() != held.Addr().String() {
 		t.Errorf("it listens on %s", w.Addr())
 	}
+	w.start()
+	w.waitReport(t, false)
+	kind := "served"
+	for began := time.Now(); kind == "served" && time.Since(began) < 10*time.Second; {
+		if kind = outcome(t, fronts[0].ask(t, w, "kampanjsida", "", "page")).Kind; kind == "served" {
+			<-w.work.Begun()
+		}
+	}
+	if kind != "refused" {
+		t.Errorf("after the grace: %s", kind)
+	}
+	<-w.drained
 }
--- a/program/handover.go
+++ b/program/handover.go
@@ -152,13 +152,12 @@
 			h.core.Claimed(p, m.State)
 		case m.Kind == handover.Next && !elder:
 			h.core.TellKeys(p)
-		case m.Kind == handover.Part && elder && !m.Last:
+		case m.Kind == handover.Away:
+			h.core.Follow(p, m.On)
+		case m.Kind == handover.Part && elder && !m.On:
 			p.conn.Send(handover.AppendNext(nil))
 		case m.Kind == handover.Part && elder && !met:
 			met = true
-			if m.Away {
-				h.core.SendAway(true, func() {})
-			}
 			close(p.met)
 		case (m.Kind == handover.Grant || m.Kind == handover.Deny) && elder:
 			h.core.Settled(p, m.Ran, m.Kind == handover.Grant)
@@ -183,8 +182,8 @@
 }
 
 // Part implements routing.Peer.
-func (p *peer) Part(last, away bool) {
-	p.conn.Send(handover.AppendPart(nil, last, away))
+func (p *peer) Part(last bool) {
+	p.conn.Send(handover.AppendPart(nil, last))
 	if last {
 		select {
 		case <-p.met:
@@ -194,6 +193,9 @@
 	}
 }
 
+// Away implements routing.Peer.
+func (p *peer) Away(on bool) { p.conn.Send(handover.AppendAway(nil, on)) }
+
 // leave ends the connection once all is said.
 func (p *peer) leave() {
 	p.conn.Close()
--- a/program/program.go
+++ b/program/program.go
@@ -24,6 +24,7 @@
 	heapShare   = 0.75                   // of the memory is for the heap
 	keysShare   = 8                      // one part in so many of the memory is for kept results
 	frontShare  = 0.625                  // of the descriptors: balancers keep to a half, others don't
+	besideShare = 0.375                  // likewise while a process is still there that this one takes over from
 	uwsgiShare  = 0.125                  // likewise for the uwsgi front, where a backend connection comes with each
 )
 
@@ -125,6 +126,9 @@
 
 // open lets callers in.
 func (s *Server) open(ctx context.Context, c *Config) {
+	if ctx.Err() != nil {
+		return
+	}
 	ctx, s.quiet = context.WithCancel(ctx)
 	go s.presence.run(ctx, c.Announce)
 	for _, d := range s.doors {
@@ -137,10 +141,13 @@
 // takeOver lets callers in once the keys are known of the process that serves on
 // the same socket, if there is one. When that has ended, the next may find this one.
 func (s *Server) takeOver(ctx context.Context, c *Config) {
-	elder := s.handover.meet(ctx)
-	s.open(ctx, c)
-	if elder != nil {
+	if elder := s.handover.meet(ctx); elder != nil { // its connections count with those here
+		s.doors[0].server.SetLimit(int(float64(c.Sockets) * besideShare))
+		s.open(ctx, c)
 		<-elder.ended
+		s.doors[0].server.SetLimit(int(float64(c.Sockets) * frontShare))
+	} else {
+		s.open(ctx, c)
 	}
 	server, err := s.handover.open()
 	if err != nil { // it serves, but its successor won't know its keys
@@ -244,6 +251,7 @@
 			return
 		}
 	}
+	defer s.doors[0].server.Close()
 	config := s.config.Load()
 	stopAt := time.Now().Add(config.Stop)
 	log.Printf("event=drain stop_in=%v", config.Stop)
@@ -257,8 +265,12 @@
 	case <-time.After(config.Settings.DrainGrace):
 	case <-last.Done():
 	}
-	for _, d := range s.doors {
-		d.server.Close() // a refused connection proves that nothing ran
+	for i, d := range s.doors {
+		// A refused connection proves that nothing ran. Where the socket is another's too,
+		// none is refused: what comes is let in and turned away to the end.
+		if i > 0 || s.handover == nil {
+			d.server.Close()
+		}
 		d.front.refuseLate()
 	}
 	for _, d := range s.doors {
--- a/protocol/handover/handover.go
+++ b/protocol/handover/handover.go
@@ -24,14 +24,15 @@
 	Deny  Kind = "deny"  // the elder: it may not
 	Next  Kind = "next"  // the younger: the next part of the keys, please
 	Part  Kind = "part"  // the elder: a part has been told
+	Away  Kind = "away"  // both: what operators have said
 )
 
 // Message is a message that was read.
 type Message struct {
-	Kind       Kind
-	State      routing.KeyState // of key and claim
-	Ran        string           // of grant and deny
-	Last, Away bool             // of part
+	Kind  Kind
+	State routing.KeyState // of key and claim
+	Ran   string           // of grant and deny
+	On    bool             // of part: it was the last; of away: callers are sent away
 }
 
 // none stands for an id that there is none of.
@@ -45,7 +46,7 @@
 	}
 	m := Message{Kind: Kind(words[0])}
 	broken := fmt.Errorf("%w: message %q", lines.ErrBroken, words)
-	if len(words) < map[Kind]int{Key: 6, Claim: 6, Grant: 2, Deny: 2, Next: 1, Part: 3}[m.Kind] {
+	if len(words) < map[Kind]int{Key: 6, Claim: 6, Grant: 2, Deny: 2, Next: 1, Part: 2, Away: 2}[m.Kind] {
 		return m, broken
 	}
 	moment := func(word string) time.Time {
@@ -83,8 +84,8 @@
 		}
 	case Grant, Deny:
 		m.Ran = words[1]
-	case Part:
-		m.Last, m.Away = truth(words[1]), truth(words[2])
+	case Part, Away:
+		m.On = truth(words[1])
 	case Next:
 	default:
 		err = broken
@@ -128,8 +129,12 @@
 // AppendNext appends the wish for the next part of the keys.
 func AppendNext(to []byte) []byte { return lines.Append(to, nil, string(Next)) }
 
-// AppendPart appends that a part of the keys has been told, whether it was the
-// last, and whether operators have callers sent away.
-func AppendPart(to []byte, last, away bool) []byte {
-	return lines.Append(to, nil, string(Part), strconv.FormatBool(last), strconv.FormatBool(away))
+// AppendPart appends that a part of the keys has been told, and whether it was the last.
+func AppendPart(to []byte, last bool) []byte {
+	return lines.Append(to, nil, string(Part), strconv.FormatBool(last))
+}
+
+// AppendAway appends whether operators have callers sent away.
+func AppendAway(to []byte, on bool) []byte {
+	return lines.Append(to, nil, string(Away), strconv.FormatBool(on))
 }
--- a/protocol/handover/handover_test.go
+++ b/protocol/handover/handover_test.go
@@ -40,8 +40,9 @@
 		{AppendSettle(nil, "r", true), Message{Kind: Grant, Ran: "r"}},
 		{AppendSettle(nil, "r", false), Message{Kind: Deny, Ran: "r"}},
 		{AppendNext(nil), Message{Kind: Next}},
-		{AppendPart(nil, true, false), Message{Kind: Part, Last: true}},
-		{AppendPart(nil, false, true), Message{Kind: Part, Away: true}},
+		{AppendPart(nil, true), Message{Kind: Part, On: true}},
+		{AppendPart(nil, false), Message{Kind: Part}},
+		{AppendAway(nil, true), Message{Kind: Away, On: true}},
 	} {
 		r := bufio.NewReaderSize(iotest.OneByteReader(bytes.NewReader(x.bytes)), 16<<10)
 		if got, err := Read(r); err != nil || !reflect.DeepEqual(got, x.want) {
@@ -52,7 +53,7 @@
 
 func TestBroken(t *testing.T) {
 	for _, text := range []string{"sing\r\n", "key\r\n", "key zz 1 r 1 true\r\n", "key 00 zz r 1 true\r\n", "key 00 1 r x true\r\n",
-		"key 00 1 r 1 maybe\r\n", "claim 00 1 r 1 x\r\n", "part 1\r\n", "grant\r\n", "key 00 1 r 1 true 99999999\r\n"} {
+		"key 00 1 r 1 maybe\r\n", "claim 00 1 r 1 x\r\n", "part last\r\n", "grant\r\n", "key 00 1 r 1 true 99999999\r\n"} {
 		if m, err := Read(bufio.NewReader(strings.NewReader(text))); err == nil {
 			t.Errorf("%q: %+v", text, m)
 		}
--- a/routing/core.go
+++ b/routing/core.go
@@ -241,11 +241,20 @@
 // says of its health. What still comes is served as ever.
 func (c *Core) SendAway(on bool, done func()) error {
 	return c.post(func() {
+		c.setAway(on)
+		if c.peer != nil {
+			c.peer.Away(on)
+		}
+		done()
+	})
+}
+
+func (c *Core) setAway(on bool) {
+	if c.away != on {
 		c.away = on
 		log.Printf("event=away on=%t", on)
 		c.report()
-		done()
-	})
+	}
 }
 
 // Ready tells whether requests can be run here.
--- a/routing/peer.go
+++ b/routing/peer.go
@@ -26,7 +26,8 @@
 	Tell(k KeyState)                 // what has become of a key
 	Claim(k KeyState)                // to the elder: may this try run?
 	Settle(ran string, granted bool) // the elder's word on that
-	Part(last, away bool)            // a part of the elder's keys has been told
+	Part(last bool)                  // a part of the elder's keys has been told
+	Away(on bool)                    // operators have callers sent away, or not any more
 }
 
 // Meet takes in a peer; elder tells whether it was there first. Only one is had
@@ -58,7 +59,10 @@
 			}
 		}
 		c.untold = c.untold[n:]
-		p.Part(len(c.untold) == 0, c.away)
+		if len(c.untold) == 0 {
+			p.Away(c.away)
+		}
+		p.Part(len(c.untold) == 0)
 	})
 }
 
@@ -142,6 +146,15 @@
 	})
 }
 
+// Follow takes in what operators have said to a peer.
+func (c *Core) Follow(p Peer, away bool) {
+	c.post(func() {
+		if c.peer == p {
+			c.setAway(away)
+		}
+	})
+}
+
 // HandOver takes in that a younger peer takes the requests to come: all that is
 // open here goes on, and is answered a margin before the process is stopped. The
 // channel is closed once nothing is open.
--- a/routing/peer_test.go
+++ b/routing/peer_test.go
@@ -23,12 +23,15 @@
 func (w *wire) Settle(ran string, granted bool) { w.far.Settled(w.back, ran, granted) }
 
 // Part implements Peer.
-func (w *wire) Part(last, _ bool) {
+func (w *wire) Part(last bool) {
 	if !last {
 		w.back.far.TellKeys(w)
 	}
 }
 
+// Away implements Peer.
+func (w *wire) Away(on bool) { w.far.Follow(w.back, on) }
+
 // meet has a younger core come beside the party's and learn its keys.
 func (p *party) meet(t *testing.T) (toElder, toYounger *wire) {
 	t.Helper()
@@ -130,6 +133,32 @@
 	})
 }
 
+// TestAwayIsShared has operators call one of two processes: callers must not be
+// told by the other to come.
+func TestAwayIsShared(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.SendAway(true, func() {})
+		p.meet(t)
+		away := func(want bool) {
+			t.Helper()
+			p.wait()
+			p.each(func(c *Core) {
+				c.Check(false, func(good bool) {
+					if good == want {
+						t.Errorf("checks are good: %t", good)
+					}
+				})
+			})
+			p.wait()
+		}
+		away(true)
+		p.younger.SendAway(false, func() {})
+		away(false)
+		p.SendAway(true, func() {})
+		away(true)
+	})
+}
+
 // TestHandOverSettles sees when all that was open is done with.
 func TestHandOverSettles(t *testing.T) {
 	bubble(t, func(t *testing.T, p *party) {
--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -31,7 +31,7 @@
 }
 
 func (c *Core) retune(s policy.Settings, names []string) error {
-	if len(names) != len(s.Classes) {
+	if len(names) == 0 || len(names) != len(s.Classes) {
 		return fmt.Errorf("classes: %d names for %d", len(names), len(s.Classes))
 	}
 	// What comes in the last moments of the grace, as it is seen here, may have
--- a/routing/tuning_test.go
+++ b/routing/tuning_test.go
@@ -41,7 +41,9 @@
 		wrong := settings()
 		wrong.Classes = slices.Clone(wrong.Classes)
 		wrong.Classes[2].Deadline = 0
-		for _, err := range []error{retune(wrong, "read", "gift", "receipt"), retune(s, "read", "read", "receipt"), retune(s, "read")} {
+		none := settings()
+		none.Classes = nil
+		for _, err := range []error{retune(wrong, "read", "gift", "receipt"), retune(s, "read", "read", "receipt"), retune(s, "read"), retune(none)} {
 			if err == nil {
 				t.Error("settings that make no sense are taken")
 			}
--- a/transport/conn_test.go
+++ b/transport/conn_test.go
@@ -222,7 +222,7 @@
 // TestServer sees that connections over the limit are closed, and that Empty
 // tells when a closed server's last one has ended.
 func TestServer(t *testing.T) {
-	serving, crowded := make(chan *Conn), make(chan struct{}, 2)
+	serving, crowded := make(chan *Conn), make(chan struct{}, 3)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -250,6 +250,10 @@
 	if len(crowded) != 2 {
 		t.Errorf("asked %d times to make room, want once for each that came", len(crowded))
 	}
+	s.SetLimit(2)
+	third := dial()
+	defer third.Close()
+	(<-serving).Close()
 	s.Close()
 	if nc, err := net.Dial("tcp", s.Addr().String()); err == nil {
 		nc.Close()
--- a/transport/server.go
+++ b/transport/server.go
@@ -48,6 +48,13 @@
 	return &Server{listener: l, limit: limit, serve: serve, crowded: crowded, empty: make(chan struct{})}
 }
 
+// SetLimit changes the limit for the connections to come.
+func (s *Server) SetLimit(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.limit = limit
+}
+
 // Addr is the address that is listened on.
 func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
