Share keys between a class and one that came later: a renamed class ran a gift twice

Ruled out: the window (1.1 of 20.7 s), two processes (there was one).

Changed: the table goes by the key alone, as the protocol has it. A try of another class is rejected where both classes were there from the start, and is the same request where one came with new settings, whose file doesn't say which class follows which. A peer is told the class too.

--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -68,6 +68,7 @@
 	config := make(map[string]any)
 	must(t, 0, err)
 	must(t, 0, json.Unmarshal(text, &config))
+	delete(config, "control") // a test asks for one if it calls it
 	for key, value := range changes {
 		config[key] = value
 	}
--- a/protocol/handover/handover.go
+++ b/protocol/handover/handover.go
@@ -40,13 +40,13 @@
 
 // Read reads the next message. It may be called again after an interrupted read.
 func Read(r *bufio.Reader) (Message, error) {
-	words, body, err := lines.Read(r, func(w []string) bool { return Kind(w[0]) == Key && len(w) == 7 })
+	words, body, err := lines.Read(r, func(w []string) bool { return Kind(w[0]) == Key && len(w) == 8 })
 	if err != nil {
 		return Message{}, err
 	}
 	m := Message{Kind: Kind(words[0])}
 	broken := fmt.Errorf("%w: message %q", lines.ErrBroken, words)
-	if len(words) < map[Kind]int{Key: 6, Claim: 6, Grant: 2, Deny: 2, Next: 1, Part: 2, Away: 2}[m.Kind] {
+	if len(words) < map[Kind]int{Key: 7, Claim: 7, Grant: 2, Deny: 2, Next: 1, Part: 2, Away: 2}[m.Kind] {
 		return m, broken
 	}
 	moment := func(word string) time.Time {
@@ -66,18 +66,19 @@
 	switch m.Kind {
 	case Key, Claim:
 		key, e := hex.DecodeString(words[1])
-		hash, e2 := strconv.ParseUint(words[2], 16, 64)
-		if e != nil || e2 != nil {
+		class, e2 := hex.DecodeString(words[2])
+		hash, e3 := strconv.ParseUint(words[3], 16, 64)
+		if e != nil || e2 != nil || e3 != nil {
 			return m, broken
 		}
-		m.State = routing.KeyState{Key: string(key), Body: hash, Ran: words[3], Till: moment(words[4])}
+		m.State = routing.KeyState{Key: string(key), Class: string(class), Body: hash, Ran: words[4], Till: moment(words[5])}
 		if m.State.Ran == none {
 			m.State.Ran = ""
 		}
 		if m.Kind == Claim {
-			m.State.Door = moment(words[5])
+			m.State.Door = moment(words[6])
 		} else {
-			m.State.Over = truth(words[5])
+			m.State.Over = truth(words[6])
 		}
 		if body != nil {
 			m.State.Result = &routing.Payload{Body: body}
@@ -98,7 +99,7 @@
 	if ran == "" {
 		ran = none
 	}
-	return []string{string(kind), hex.EncodeToString([]byte(k.Key)), strconv.FormatUint(k.Body, 16), ran,
+	return []string{string(kind), hex.EncodeToString([]byte(k.Key)), hex.EncodeToString([]byte(k.Class)), strconv.FormatUint(k.Body, 16), ran,
 		strconv.FormatInt(k.Till.UnixNano(), 10), last}
 }
 
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -15,7 +15,7 @@
 	if a.Key != "" {
 		sum := sha256.Sum256(a.Payload.Body) // the same in every process, and none can be made to fit
 		a.body = binary.BigEndian.Uint64(sum[:])
-		if !c.keys.matches(a.Key, a.body, a.door) { // its result is not for this caller
+		if !c.keys.matches(a, c.kin) { // its result is not for this caller
 			c.book(a, Outcome{Kind: Rejected})
 			return
 		}
--- a/routing/core.go
+++ b/routing/core.go
@@ -38,6 +38,7 @@
 // goroutine while Run works; they only leave events.
 type Core struct {
 	opt    Options
+	first  map[string]bool        // names of the classes that were there from the start
 	tuned  atomic.Pointer[tuning] // for those that hand in; Run's goroutine replaces it
 	events chan func()
 	done   chan struct{}
@@ -63,12 +64,15 @@
 
 // New makes a core. The error names the setting that makes no sense.
 func New(opt Options) (*Core, error) {
-	c := &Core{opt: opt, events: make(chan func(), mailbox),
+	c := &Core{opt: opt, first: make(map[string]bool), events: make(chan func(), mailbox),
 		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true,
 		gauges: policy.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}}
 	if err := c.retune(opt.Settings, opt.Classes); err != nil {
 		return nil, err
 	}
+	for _, name := range opt.Classes {
+		c.first[name] = true
+	}
 	return c, nil
 }
 
--- a/routing/keys.go
+++ b/routing/keys.go
@@ -14,6 +14,7 @@
 // entry is what the table keeps of a key.
 type entry struct {
 	key    string
+	class  string // of the request's first try
 	body   uint64 // hash of what all tries of the request bring
 	holder string // id of the try that is held or runs
 	ran    string // id of the try that was run
@@ -45,17 +46,23 @@
 // full tells whether there is no room for a further key, even without results.
 func (t *keyTable) full() bool { return t.most > 0 && len(t.entries)*entryBytes > t.most }
 
-// matches tells whether a try with that body may go by the key: all tries of one
+// matches tells whether a try may go by its key: all tries of one
 // request bring the same.
-func (t *keyTable) matches(key string, body uint64, door time.Duration) bool {
-	e := t.entries[key]
-	return e == nil || e.body == body || e.live == 0 && !e.ranFor(door)
+func (t *keyTable) matches(a *attempt, kin func(a, b string) bool) bool {
+	e := t.entries[a.Key]
+	return e == nil || e.unused(a.door) || e.body == a.body && kin(e.class, a.Class)
 }
 
+// unused tells whether a try that came at a time may make the key its own.
+func (e *entry) unused(door time.Duration) bool { return e.live == 0 && !e.ranFor(door) }
+
 // enter links a new try to its key and names the try that it repeats: one that
 // has run within the window, or one that is still held.
 func (t *keyTable) enter(a *attempt) (earlier string) {
 	e := t.entry(a.Key)
+	if e.unused(a.door) {
+		e.class = a.Class
+	}
 	e.body = a.body
 	a.entry = e
 	e.live++
@@ -82,7 +89,7 @@
 
 // state is what a peer is told of an entry.
 func (e *entry) state() KeyState {
-	return KeyState{Key: e.key, Body: e.body, Ran: e.ran, Till: time.Unix(0, int64(e.till)), Over: e.over, Result: e.result}
+	return KeyState{Key: e.key, Class: e.class, Body: e.body, Ran: e.ran, Till: time.Unix(0, int64(e.till)), Over: e.over, Result: e.result}
 }
 
 // learn takes over what a peer tells of a key. It gives the repeats that waited
@@ -90,7 +97,7 @@
 func (t *keyTable) learn(k KeyState) (e *entry, joined []*attempt) {
 	e = t.entry(k.Key)
 	t.drop(e)
-	e.body, e.holder, e.ran, e.till = k.Body, k.Ran, k.Ran, time.Duration(k.Till.UnixNano())
+	e.class, e.body, e.holder, e.ran, e.till = k.Class, k.Body, k.Ran, k.Ran, time.Duration(k.Till.UnixNano())
 	e.over = k.Over || k.Ran == ""
 	e.remote = !e.over
 	if k.Result != nil {
--- a/routing/peer.go
+++ b/routing/peer.go
@@ -11,6 +11,7 @@
 // KeyState is what one process of an app server tells another of a key.
 type KeyState struct {
 	Key    string
+	Class  string // of the first try
 	Body   uint64 // hash of what all tries of the request bring
 	Ran    string // id of the try that was run; "" where none was
 	Door   time.Time
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -9,8 +9,8 @@
 	"quincerail.example/quincerail/policy"
 )
 
-// maxKey bounds a key with its class's name: the table counts on it, and peers are told of it.
-const maxKey = 320
+// maxKey bounds a key: the table counts on it, and peers are told of it.
+const maxKey = 256
 
 // attempt is one try of a request and what became of it.
 type attempt struct {
@@ -50,8 +50,6 @@
 		return fmt.Errorf("class %q needs a key", r.Class)
 	} else if !keyed {
 		r.Key = ""
-	} else { // a key of one class says nothing of another's
-		r.Key = r.Class + "\x00" + r.Key
 	}
 	if len(r.Key) > maxKey {
 		return fmt.Errorf("a key of %d bytes, %d at most", len(r.Key), maxKey)
--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -14,6 +14,11 @@
 	classes []policy.Class
 }
 
+// kin tells whether tries of one request may come in both classes. A class that
+// came later may be another under a new name, and callers go over to it between two
+// tries. Those that were there from the start are no such pair.
+func (c *Core) kin(a, b string) bool { return a == b || !c.first[a] || !c.first[b] }
+
 // Retune takes over other settings, with the names of their classes: from then on
 // classes that are new are taken, and those that are gone are not. An error names
 // what makes no sense, and nothing has changed then.
