Meet over the shared folder's descriptor where its path is too long for a socket

Seen: reading handover.go against the limit of 108 bytes on a socket's path: with a longer $TMPDIR, open fails, the log says event=handover_failed, and the next process serves without the old one's keys, by which a gift can run twice.

Changed: such a path goes by /proc/self/fd and the folder's descriptor; short ones as before.

--- a/program/control_test.go
+++ b/program/control_test.go
@@ -94,7 +94,11 @@
 
 // hold opens a listening socket for servers to inherit.
 func hold(t *testing.T) (held net.Listener, inherit func(*program.Config)) {
-	t.Setenv("TMPDIR", t.TempDir())
+	folder := filepath.Join(t.TempDir(), strings.Repeat("a folder with a long name ", 4)) // too long for a socket's path
+	if err := os.Mkdir(folder, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	t.Setenv("TMPDIR", folder)
 	l := must(net.Listen("tcp", "127.0.0.1:0"))(t).(*net.TCPListener)
 	t.Cleanup(func() { l.Close() })
 	return l, func(c *program.Config) {
--- a/program/handover.go
+++ b/program/handover.go
@@ -19,17 +19,18 @@
 )
 
 const (
-	meetWithin = 5 * time.Second       // the platform waits 6 s for a new process
-	meetAgain  = 50 * time.Millisecond // between two tries
-	meetConns  = 2                     // the successor, and one that is told to come again
-	flushIn    = 200 * time.Millisecond
+	meetWithin    = 5 * time.Second       // the platform waits 6 s for a new process
+	meetAgain     = 50 * time.Millisecond // between two tries
+	meetConns     = 2                     // the successor, and one that is told to come again
+	maxSocketPath = 100                   // the system takes a few bytes more
+	flushIn       = 200 * time.Millisecond
 )
 
 // handoverDoor is where the processes of one app server meet while a new one takes
 // over from the old: a socket in the folder for temporary files, which they share.
 type handoverDoor struct {
-	core *routing.Core
-	path string
+	core         *routing.Core
+	folder, name string
 
 	mu        sync.Mutex
 	successor *peer
@@ -43,7 +44,21 @@
 }
 
 func newHandoverDoor(core *routing.Core, name string) *handoverDoor {
-	return &handoverDoor{core: core, path: filepath.Join(os.TempDir(), fmt.Sprintf("quincerail-%s.sock", name))}
+	return &handoverDoor{core: core, folder: os.TempDir(), name: fmt.Sprintf("quincerail-%s.sock", name)}
+}
+
+// address gives the address of a socket in the folder, which holds until release.
+// A path that is too long for a socket goes by the folder's descriptor.
+func (h *handoverDoor) address(name string) (address string, release func()) {
+	path := filepath.Join(h.folder, name)
+	if len(path) <= maxSocketPath {
+		return path, func() {}
+	}
+	folder, err := os.Open(h.folder)
+	if err != nil { // then the socket can't be had either
+		return path, func() {}
+	}
+	return fmt.Sprintf("/proc/self/fd/%d/%s", folder.Fd(), name), func() { folder.Close() }
 }
 
 func newPeer(nc net.Conn) *peer {
@@ -56,7 +71,9 @@
 	ctx, cancel := context.WithTimeout(ctx, meetWithin)
 	defer cancel()
 	for tried := false; ctx.Err() == nil; tried = true {
-		nc, err := (&net.Dialer{}).DialContext(ctx, "unix", h.path)
+		address, release := h.address(h.name)
+		nc, err := (&net.Dialer{}).DialContext(ctx, "unix", address)
+		release()
 		if err == nil {
 			p := newPeer(nc)
 			go h.serve(p, true)
@@ -76,20 +93,22 @@
 		case <-time.After(meetAgain):
 		}
 	}
-	log.Printf("event=handover_failed path=%s", h.path)
+	log.Printf("event=handover_failed error=%q", "the process before did not tell its keys in time")
 	return nil
 }
 
 // open has the next process find this one.
 func (h *handoverDoor) open() (*transport.Server, error) {
-	own := fmt.Sprintf("%s.%d", h.path, os.Getpid())
-	os.Remove(own)
-	l, err := net.Listen("unix", own)
+	own := fmt.Sprintf("%s.%d", h.name, os.Getpid())
+	os.Remove(filepath.Join(h.folder, own))
+	address, release := h.address(own)
+	defer release()
+	l, err := net.Listen("unix", address)
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
 	l.(*net.UnixListener).SetUnlinkOnClose(false) // by then the name may be another's
-	if err := os.Rename(own, h.path); err != nil {
+	if err := os.Rename(filepath.Join(h.folder, own), filepath.Join(h.folder, h.name)); err != nil {
 		l.Close()
 		return nil, fmt.Errorf("handover: %w", err)
 	}
