Show that a refused Unix socket leaves the handover off, not the server

Read: meet gives up after the first refused dial and open's error is logged while the process serves alone, but only an asserted *net.UnixListener and no test stood for it.

Change: the door's dial and listen are fields, set to the net package's; a test injects ENOSYS at that seam and sees one dial, no wait for a peer, and the refusal passed up. The listener's type is checked instead of asserted.

--- a/program/handover.go
+++ b/program/handover.go
@@ -31,6 +31,10 @@
 type handoverDoor struct {
 	core         *routing.Core
 	folder, name string
+	// Where the platform refuses Unix sockets (ENOSYS, EACCES, or a socket that
+	// nobody comes to), the door stays shut and the process serves alone.
+	listen func(network, address string) (net.Listener, error)
+	dial   func(ctx context.Context, network, address string) (net.Conn, error)
 
 	mu        sync.Mutex
 	successor *peer
@@ -44,7 +48,8 @@
 }
 
 func newHandoverDoor(core *routing.Core, name string) *handoverDoor {
-	return &handoverDoor{core: core, folder: os.TempDir(), name: fmt.Sprintf("quincerail-%s.sock", name)}
+	return &handoverDoor{core: core, folder: os.TempDir(), name: fmt.Sprintf("quincerail-%s.sock", name),
+		listen: net.Listen, dial: (&net.Dialer{}).DialContext}
 }
 
 // address gives the address of a socket in the folder, which holds until release.
@@ -72,7 +77,7 @@
 	defer cancel()
 	for tried := false; ctx.Err() == nil; tried = true {
 		address, release := h.address(h.name)
-		nc, err := (&net.Dialer{}).DialContext(ctx, "unix", address)
+		nc, err := h.dial(ctx, "unix", address)
 		release()
 		if err == nil {
 			p := newPeer(nc)
@@ -103,11 +108,13 @@
 	os.Remove(filepath.Join(h.folder, own))
 	address, release := h.address(own)
 	defer release()
-	l, err := net.Listen("unix", address)
+	l, err := h.listen("unix", address)
 	if err != nil {
 		return nil, fmt.Errorf("handover: %w", err)
 	}
-	l.(*net.UnixListener).SetUnlinkOnClose(false) // by then the name may be another's
+	if u, ok := l.(*net.UnixListener); ok {
+		u.SetUnlinkOnClose(false) // by then the name may be another's
+	}
 	if err := os.Rename(filepath.Join(h.folder, own), filepath.Join(h.folder, h.name)); err != nil {
 		l.Close()
 		return nil, fmt.Errorf("handover: %w", err)
--- /dev/null
+++ b/program/handover_refused_test.go
@@ -0,0 +1,40 @@
+package program
+
+import (
+	"context"
+	"errors"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/routing"
+)
+
+// TestHandoverRefused plays a platform that refuses Unix sockets, as the fleet
+// days do (ENOSYS): the door looks once for a process to take over from, does
+// not wait out its time for one, and reports that it can't open, so that the
+// process serves alone.
+func TestHandoverRefused(t *testing.T) {
+	core, err := routing.New(routing.Options{Classes: []string{"page"}, Settings: decision.Settings{Cores: 1,
+		MemoryKB: 1024, RunFactor: 1, Classes: []decision.Class{{Aim: time.Second, Deadline: 2 * time.Second}}}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	refused := func(op string) error {
+		return &net.OpError{Op: op, Net: "unix", Err: os.NewSyscallError("socket", syscall.ENOSYS)}
+	}
+	door, dials := newHandoverDoor(core, "n1"), 0
+	door.dial = func(context.Context, string, string) (net.Conn, error) { dials++; return nil, refused("dial") }
+	door.listen = func(string, string) (net.Listener, error) { return nil, refused("listen") }
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	if elder := door.meet(ctx); elder != nil || dials != 1 {
+		t.Errorf("meet: %v after %d dials, want none after one", elder, dials)
+	}
+	if _, err := door.open(); !errors.Is(err, syscall.ENOSYS) {
+		t.Errorf("open: %v, want the refusal", err)
+	}
+}
