Make the middleware a library, admission, and run the daemon's suite against it

Change: package admission replaces middleware. New(Config) gives a Server over the same routing core and module; Wrap is its net/http middleware, Shutdown its drain, Stats its counts, Health its checks. The module now has gauges of the process (CPU time by getrusage, running and runnable goroutines by runtime/metrics) instead of none. A run whose handler ignores its context is answered at its due time and counts as running, and stuck, until it returns.

Found by the suite: http.Server.Shutdown closes a connection whose request is read whole after Shutdown began, unanswered (net/http server.go, conn.serve: 'if c.server.shuttingDown() { return }'); the drain scenario's half-sent gift got EOF. Server.Listener now closes the socket after the grace and serves the open connections, turning away what comes, until they end.

TestWriteTimeout fails without the due time (EOF at 800 ms); the drain scenario fails without Listener (EOF).

--- /dev/null
+++ b/admission/frameworks_test.go
@@ -0,0 +1,143 @@
+package admission_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"quincerail.example/quincerail/admission"
+	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/describe"
+)
+
+// These tests play the framework's own timeouts, which fire before the
+// module's, over loopback and on the real clock: net/http's deadlines do not
+// follow a synctest bubble.
+
+// quick is a configuration whose classes give up after a few seconds.
+func quick() admission.Config {
+	return admission.Config{
+		Classes: []describe.Class{
+			{Name: "sida", Class: decision.Class{Aim: time.Second, Deadline: 3 * time.Second, Worth: 1}},
+			{Name: "gava", Class: decision.Class{Aim: time.Second, Deadline: 3 * time.Second, Worth: 3,
+				Effect: decision.Keyed, Window: 20 * time.Second}},
+		},
+		Routes: describe.Routes{{Path: "/sida", Class: "sida"}, {Path: "/gava", Class: "gava"}},
+		Cores:  2, Seed: 1,
+	}
+}
+
+// serve gives a loopback server whose handler is h behind the middleware, and
+// its address.
+func serve(t *testing.T, configure func(*http.Server), wrap func(http.Handler) http.Handler,
+	h http.Handler) (*admission.Server, string) {
+	t.Helper()
+	a, err := admission.New(quick())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(a.Close)
+	ts := httptest.NewUnstartedServer(wrap(a.Wrap(h)))
+	configure(ts.Config)
+	ts.Start()
+	t.Cleanup(ts.Close)
+	return a, ts.URL
+}
+
+func same(h http.Handler) http.Handler { return h }
+
+// TestWriteTimeout has the server's WriteTimeout end before the class's
+// deadline, and the handler hang: the caller still gets a whole answer, in
+// time for it to be written, and the handler's context ends.
+func TestWriteTimeout(t *testing.T) {
+	stopped := make(chan struct{}, 1)
+	hang := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		<-r.Context().Done()
+		stopped <- struct{}{}
+	})
+	_, url := serve(t, func(s *http.Server) { s.WriteTimeout = 800 * time.Millisecond }, same, hang)
+	resp, err := http.Post(url+"/sida", "text/plain", strings.NewReader("x"))
+	if err != nil {
+		t.Fatalf("no whole answer: %v", err)
+	}
+	resp.Body.Close()
+	if resp.StatusCode != http.StatusServiceUnavailable && resp.StatusCode != http.StatusGatewayTimeout {
+		t.Errorf("status %d, want 503 or 504", resp.StatusCode)
+	}
+	<-stopped
+}
+
+// TestTimeoutHandler has http.TimeoutHandler before the middleware fire first:
+// its request's context ends, which counts as a caller that left. A safe run
+// is stopped; a keyed one goes on, and its repeat gets its result.
+func TestTimeoutHandler(t *testing.T) {
+	stopped, release := make(chan string, 2), make(chan struct{})
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		if r.URL.Path == "/gava" {
+			<-release
+			io.WriteString(w, "tack för "+string(body))
+			return
+		}
+		<-r.Context().Done()
+		stopped <- r.URL.Path
+	})
+	early := func(h http.Handler) http.Handler { return http.TimeoutHandler(h, 200*time.Millisecond, "for sent") }
+	a, url := serve(t, func(*http.Server) {}, early, h)
+	ask := func(path string) (int, string) {
+		r, _ := http.NewRequest("POST", url+path, strings.NewReader("10 kr"))
+		r.Header.Set("Idempotency-Key", "k")
+		resp, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer resp.Body.Close()
+		text, _ := io.ReadAll(resp.Body)
+		return resp.StatusCode, string(text)
+	}
+	if status, _ := ask("/sida"); status != http.StatusServiceUnavailable {
+		t.Errorf("the timeout handler's status: %d", status)
+	}
+	if got := <-stopped; got != "/sida" {
+		t.Errorf("stopped %s", got)
+	}
+	if status, _ := ask("/gava"); status != http.StatusServiceUnavailable {
+		t.Errorf("the timeout handler's status: %d", status)
+	}
+	close(release)
+	// The repeat joins the run that went on, or gets its kept result.
+	if status, text := ask("/gava"); status != http.StatusOK || text != "tack för 10 kr" {
+		t.Errorf("the repeat: %d %q", status, text)
+	}
+	if got := a.Stats(); got.Runs != 2 || got.Gone != 2 || got.Served != 1 {
+		t.Errorf("stats %+v, want 2 runs, 2 gone, 1 served", got)
+	}
+}
+
+// TestClientCancels has the client give up through its context: no answer is
+// owed and the handler's context ends.
+func TestClientCancels(t *testing.T) {
+	stopped := make(chan struct{}, 1)
+	begun := make(chan struct{}, 1)
+	h := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		<-r.Context().Done()
+		stopped <- struct{}{}
+	})
+	a, url := serve(t, func(*http.Server) {}, same, h)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { <-begun; cancel() }()
+	r, _ := http.NewRequestWithContext(ctx, "POST", url+"/sida", strings.NewReader("x"))
+	if _, err := http.DefaultClient.Do(r); !errors.Is(err, context.Canceled) {
+		t.Errorf("got %v", err)
+	}
+	<-stopped
+	if got := a.Stats(); got.Gone != 1 {
+		t.Errorf("stats %+v, want one gone", got)
+	}
+}
--- /dev/null
+++ b/admission/machine.go
@@ -0,0 +1,75 @@
+package admission
+
+import (
+	"runtime/metrics"
+	"sync"
+	"syscall"
+	"time"
+
+	"quincerail.example/quincerail/decision"
+)
+
+// trialWithin is how soon a new goroutine must be scheduled for a deep health
+// check to be good: a process whose cores are taken by handlers that never
+// wait answers late.
+const trialWithin = 100 * time.Millisecond
+
+// process gives the module the gauges of the process it runs in, as the
+// processor gives them to the daemon (routing.Machine):
+//
+//   - CoreUse: the process's CPU time (getrusage(2), user and system) over the
+//     wall time since the last reading, for the configured cores;
+//   - OnCores: goroutines that run or wait for a core (runtime/metrics
+//     /sched/goroutines/running and /runnable), less the one that reads them.
+//
+// Memory and connections are not known to it (negative). Reading takes a few
+// microseconds, once a tick of the module.
+type process struct {
+	cores float64
+
+	mu      sync.Mutex // readings come from the core's timers
+	samples []metrics.Sample
+	cpu     time.Duration // at the last reading
+	at      time.Time
+}
+
+func newProcess(cores int) *process {
+	p := &process{cores: float64(cores), samples: []metrics.Sample{
+		{Name: "/sched/goroutines/running:goroutines"}, {Name: "/sched/goroutines/runnable:goroutines"}}}
+	p.cpu, p.at = cpuTime(), time.Now()
+	return p
+}
+
+// cpuTime is the CPU time that the process has used, 0 where it can't be had.
+func cpuTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// Usage implements routing.Machine. It answers at once.
+func (p *process) Usage(reply func(decision.Gauges)) {
+	g := decision.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}
+	p.mu.Lock()
+	cpu, now := cpuTime(), time.Now()
+	if wall := now.Sub(p.at); cpu > 0 && wall > 0 {
+		g.CoreUse = min(1, float64(cpu-p.cpu)/float64(wall)/p.cores)
+	}
+	p.cpu, p.at = cpu, now
+	metrics.Read(p.samples)
+	if p.samples[0].Value.Kind() == metrics.KindUint64 && p.samples[1].Value.Kind() == metrics.KindUint64 {
+		on := p.samples[0].Value.Uint64() + p.samples[1].Value.Uint64()
+		g.OnCores = float64(max(on, 1) - 1)
+	}
+	p.mu.Unlock()
+	reply(g)
+}
+
+// Trial implements routing.Machine: good when a new goroutine is scheduled
+// within trialWithin.
+func (p *process) Trial(reply func(good bool)) {
+	asked := time.Now()
+	go func() { reply(time.Since(asked) < trialWithin) }()
+}
--- /dev/null
+++ b/admission/machine_test.go
@@ -0,0 +1,46 @@
+package admission
+
+import (
+	"runtime"
+	"sync/atomic"
+	"testing"
+
+	"quincerail.example/quincerail/decision"
+)
+
+// TestProcessGauges has goroutines take the cores without waiting: the gauges
+// count them among what wants a core, and the cores as busy.
+func TestProcessGauges(t *testing.T) {
+	const spinners = 3
+	var stop atomic.Bool
+	started := make(chan struct{}, spinners)
+	defer stop.Store(true)
+	for range spinners {
+		go func() {
+			started <- struct{}{}
+			for !stop.Load() {
+			}
+		}()
+	}
+	for range spinners {
+		<-started
+	}
+	p := newProcess(runtime.GOMAXPROCS(0))
+	for cpuTime() == p.cpu { // until the spinners' time is counted
+		runtime.Gosched()
+	}
+	var g decision.Gauges
+	p.Usage(func(read decision.Gauges) { g = read })
+	if g.OnCores < spinners {
+		t.Errorf("on the cores %v, want at least the %d that spin", g.OnCores, spinners)
+	}
+	if !(g.CoreUse > 0 && g.CoreUse <= 1) {
+		t.Errorf("core use %v, want a share above 0", g.CoreUse)
+	}
+	if g.Memory >= 0 || g.Conns >= 0 {
+		t.Errorf("memory %v, connections %v: neither is known", g.Memory, g.Conns)
+	}
+	good := make(chan bool)
+	p.Trial(func(ok bool) { good <- ok })
+	<-good // with spinners on every core it may be late; that it answers is what counts here
+}
--- /dev/null
+++ b/admission/wrap.go
@@ -0,0 +1,126 @@
+package admission
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/protocol/httpresult"
+	"quincerail.example/quincerail/routing"
+)
+
+// writeMargin is how long before the http.Server's write deadline an answer is
+// due: the module may answer up to the slack after a due time, and the bytes
+// must still go out.
+const writeMargin = 2 * answerSlack
+
+// Wrap is the middleware for net/http, and for routers that take
+// func(http.Handler) http.Handler, chi among them. Requests that a route of
+// the configuration leads to a class are admitted as the package says; all
+// others go to next untouched.
+func (s *Server) Wrap(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		route, ok := s.cfg.Routes.Match(r.Method, r.URL.Path)
+		if !ok {
+			s.stats.passed.Add(1)
+			next.ServeHTTP(w, r)
+			return
+		}
+		s.admit(w, r, route, next)
+	})
+}
+
+// admit has one request decided, run and answered.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, route describe.Route, next http.Handler) {
+	door := time.Now()
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBody))
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+		s.stats.rejected.Add(1)
+		http.Error(w, http.StatusText(http.StatusRequestEntityTooLarge), http.StatusRequestEntityTooLarge)
+		return
+	} else if err != nil { // the caller's connection broke while it sent
+		s.stats.gone.Add(1)
+		return
+	}
+	key := r.Header.Get(route.KeyHeader)
+	if route.KeyHeader == "" {
+		key = r.Header.Get(describe.DefaultKeyHeader)
+	}
+	answer, id := make(sink, 1), routing.NewID()
+	err = s.core.Submit(routing.Request{ID: id, Class: route.Class, Key: key, Door: door, Due: writeDue(r, door),
+		HeldKB: baseKB + float64(len(body))/1024, Payload: routing.Payload{Body: body},
+		Backend: s.newRun(next, r), Sink: answer})
+	if errors.Is(err, routing.ErrStopped) {
+		s.stats.refused.Add(1)
+		refuse(w, maxAdvice)
+		return
+	} else if err != nil { // a keyed class without its key, or one too long
+		s.stats.rejected.Add(1)
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	select {
+	case o := <-answer:
+		s.respond(w, o)
+	case <-r.Context().Done(): // the caller left, or a framework's timeout fired before ours
+		s.stats.gone.Add(1) // before the run hears of it
+		s.core.Lost(id, answer)
+	case <-s.core.Done():
+		select {
+		case o := <-answer: // it came just before the end
+			s.respond(w, o)
+		default: // it may have run, so it is not turned away
+			s.respond(w, routing.Outcome{Kind: routing.Failed})
+		}
+	}
+}
+
+// writeDue is when the http.Server that serves r stops writing to its caller,
+// less the margin; zero where it has no WriteTimeout. net/http sets the write
+// deadline once the request's header is read, just before the handlers are
+// called, so door is a little late, and the margin covers that too.
+func writeDue(r *http.Request, door time.Time) time.Time {
+	hs, ok := r.Context().Value(http.ServerContextKey).(*http.Server)
+	if !ok || hs.WriteTimeout <= 0 {
+		return time.Time{}
+	}
+	if hs.WriteTimeout <= 2*writeMargin {
+		return door.Add(hs.WriteTimeout / 2)
+	}
+	return door.Add(hs.WriteTimeout - writeMargin)
+}
+
+// sink takes the answer to the goroutine that serves the request.
+type sink chan routing.Outcome
+
+// Answer implements routing.Sink. There is one answer, and room for it.
+func (s sink) Answer(_ string, o routing.Outcome) { s <- o }
+
+func (s *Server) respond(w http.ResponseWriter, o routing.Outcome) {
+	s.stats.answered(o.Kind)
+	if s.draining.Load() { // callers go to another
+		w.Header().Set("Connection", "close")
+	}
+	if o.Kind == routing.Refused {
+		refuse(w, o.Later)
+		return
+	}
+	if o.Kind != routing.Served && len(o.Result.Fields) == 0 { // the handler has said nothing
+		status := httpresult.Status(o.Kind)
+		http.Error(w, http.StatusText(status), status)
+		return
+	}
+	status, headers, body := httpresult.Decode(o.Result)
+	for _, h := range headers {
+		w.Header().Add(h.Name, h.Value)
+	}
+	w.WriteHeader(status)
+	w.Write(body)
+}
+
+func refuse(w http.ResponseWriter, later time.Duration) {
+	w.Header().Set("Retry-After", httpresult.RetryAfter(later))
+	http.Error(w, http.StatusText(http.StatusServiceUnavailable), http.StatusServiceUnavailable)
+}
--- a/example/web/main.go
+++ b/example/web/main.go
@@ -1,23 +1,25 @@
-// Command web is a small web service on chi with the middleware before its
-// handlers. Its classes and routes stand in web.json, an OpenAPI document.
+// Command web is the sample service of the admission library (package gifts)
+// on a port: campaign pages and gifts, with the classes and routes of web.json,
+// an OpenAPI document. SIGTERM drains it.
 package main
 
 import (
 	"context"
 	_ "embed"
 	"errors"
+	"flag"
 	"fmt"
-	"io"
-	"log"
+	"log/slog"
 	"net/http"
+	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
-	"github.com/go-chi/chi/v5"
-
+	"quincerail.example/quincerail/admission"
 	"quincerail.example/quincerail/describe"
-	"quincerail.example/quincerail/middleware"
+	"quincerail.example/quincerail/example/web/gifts"
 )
 
 //go:embed web.json
@@ -26,54 +28,52 @@
 const stopIn = 5 * time.Second
 
 func main() {
-	if err := run(); err != nil {
-		log.Fatalf("event=failed error=%q", err)
+	address := flag.String("listen", "127.0.0.1:8080", "address to serve on")
+	flag.Parse()
+	if err := run(*address); err != nil {
+		slog.Error("failed", "error", err)
+		os.Exit(1)
+	}
+}
+
+// work makes pages and takes gifts.
+func work(_ context.Context, class string, body []byte) ([]byte, error) {
+	switch class {
+	case "kampanjsida":
+		return []byte("kampanj\n"), nil
+	case "ny-gava":
+		slog.Info("gift", "body", string(body))
+		return fmt.Appendf(nil, "tack för %s\n", strings.TrimSpace(string(body))), nil
 	}
+	return nil, fmt.Errorf("class %q: no such work", class)
 }
 
-func run() error {
+func run(address string) error {
 	doc, err := describe.Load(document)
 	if err != nil {
 		return fmt.Errorf("web.json: %w", err)
 	}
-	m, err := middleware.New(middleware.Options{Document: doc})
+	service, err := gifts.New(admission.FromDocument(doc), work)
 	if err != nil {
 		return err
 	}
-	defer m.Close()
-
-	r := chi.NewRouter()
-	r.Use(m.Wrap)
-	r.Get("/-/healthy", m.Health)
-	r.Get("/kampanjer/{kampanj}", func(w http.ResponseWriter, r *http.Request) {
-		fmt.Fprintf(w, "kampanj %s\n", chi.URLParam(r, "kampanj"))
-	})
-	r.Post("/gavor", func(w http.ResponseWriter, r *http.Request) {
-		body, err := io.ReadAll(r.Body)
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		log.Printf("event=gift body=%q", body)
-		fmt.Fprintf(w, "tack för %s\n", body)
-	})
-
-	server := &http.Server{Addr: "127.0.0.1:8080", Handler: r, ReadHeaderTimeout: stopIn}
+	server := &http.Server{Addr: address, Handler: service, ReadHeaderTimeout: stopIn, WriteTimeout: 10 * time.Second}
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	failed := make(chan error, 1)
 	go func() { failed <- server.ListenAndServe() }()
-	log.Printf("event=listening address=%s", server.Addr)
+	slog.Info("listening", "address", address)
 	select {
 	case err := <-failed:
+		service.Close()
 		return err
 	case <-ctx.Done():
 	}
-	m.Drain(time.Now().Add(stopIn))
 	ending, cancel := context.WithTimeout(context.Background(), stopIn)
 	defer cancel()
-	if err := server.Shutdown(ending); err != nil && !errors.Is(err, context.DeadlineExceeded) {
+	if err := service.Shutdown(ending, server); err != nil && !errors.Is(err, http.ErrServerClosed) {
 		return err
 	}
+	slog.Info("stopped", "stats", fmt.Sprintf("%+v", service.Stats()))
 	return nil
 }
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -9,6 +9,8 @@
 	"fmt"
 	"io"
 	"net"
+	"net/http"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -117,26 +119,58 @@
 		if err != nil {
 			return Outcome{}, err
 		}
-		switch resp.Status {
-		case 200:
-			return Outcome{"served", string(resp.Body)}, nil
-		case 503:
-			for _, h := range resp.Headers {
-				if h.Name == "Retry-After" {
-					return Outcome{Kind: "refused"}, nil
-				}
-			}
-		case 502, 504:
-			return Outcome{Kind: "failed"}, nil
-		case 400:
-			return Outcome{Kind: "rejected"}, nil
+		later := slices.ContainsFunc(resp.Headers, func(h uwsgi.Var) bool { return h.Name == "Retry-After" })
+		return httpOutcome(resp.Status, later, string(resp.Body))
+	}
+	t.gone = func(nc net.Conn) { nc.Close() }
+	return t, nil
+}
+
+// HTTP is a caller that speaks HTTP/1.1. It posts to the path /CLASS, with the
+// key in the header Idempotency-Key.
+func HTTP(address, class, key, body string) (*Try, error) {
+	var b strings.Builder
+	fmt.Fprintf(&b, "POST /%s HTTP/1.1\r\nHost: %s\r\nContent-Type: text/plain\r\nContent-Length: %d\r\n",
+		class, address, len(body))
+	if key != "" {
+		fmt.Fprintf(&b, "Idempotency-Key: %s\r\n", key)
+	}
+	fmt.Fprintf(&b, "\r\n%s", body)
+	t, err := try(address, []byte(b.String()))
+	if err != nil {
+		return nil, err
+	}
+	t.read = func(r *bufio.Reader) (Outcome, error) {
+		resp, err := http.ReadResponse(r, nil)
+		if err != nil {
+			return Outcome{}, err
+		}
+		defer resp.Body.Close()
+		text, err := io.ReadAll(resp.Body)
+		if err != nil {
+			return Outcome{}, err
 		}
-		return Outcome{}, fmt.Errorf("status %d", resp.Status)
+		return httpOutcome(resp.StatusCode, resp.Header.Get("Retry-After") != "", string(text))
 	}
 	t.gone = func(nc net.Conn) { nc.Close() }
 	return t, nil
 }
 
+// httpOutcome reads an HTTP status as the fronts use them.
+func httpOutcome(status int, retryAfter bool, body string) (Outcome, error) {
+	switch {
+	case status == 200:
+		return Outcome{"served", body}, nil
+	case status == 503 && retryAfter:
+		return Outcome{Kind: "refused"}, nil
+	case status == 500, status == 502, status == 504:
+		return Outcome{Kind: "failed"}, nil
+	case status == 400, status == 422:
+		return Outcome{Kind: "rejected"}, nil
+	}
+	return Outcome{}, fmt.Errorf("status %d", status)
+}
+
 // NewID gives an id for a try. Ids never return, over all callers.
 func NewID() string {
 	var b [8]byte
--- a/internal/standin/work.go
+++ b/internal/standin/work.go
@@ -5,6 +5,8 @@
 package standin
 
 import (
+	"context"
+	"errors"
 	"strings"
 	"sync"
 	"time"
@@ -48,6 +50,17 @@
 	return w.counts[body]
 }
 
+// Total tells how many runs were begun, of all bodies.
+func (w *Work) Total() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	n := 0
+	for _, c := range w.counts {
+		n += c
+	}
+	return n
+}
+
 func (w *Work) begin(body string) (word string) {
 	w.mu.Lock()
 	w.counts[body]++
@@ -58,3 +71,21 @@
 }
 
 func (w *Work) stopped(body string) { w.ended <- body }
+
+// ErrFailed is what Do gives for work that fails or is stopped.
+var ErrFailed = errors.New("the work failed")
+
+// Do does the work of a body in a handler of the service itself: work that
+// hangs runs until ctx ends.
+func (w *Work) Do(ctx context.Context, body string) (string, error) {
+	switch w.begin(body) {
+	case "fail":
+		return "", ErrFailed
+	case "hang":
+		<-ctx.Done()
+		w.stopped(body)
+		return "", ErrFailed
+	}
+	time.Sleep(w.Took)
+	return Result(body), nil
+}
--- a/program/suite_test.go
+++ b/program/suite_test.go
@@ -1,25 +1,39 @@
 package program_test
 
 import (
+	"context"
 	"fmt"
+	"net"
+	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
+	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"quincerail.example/quincerail/admission"
+	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/example/web/gifts"
 	"quincerail.example/quincerail/internal/standin"
 	"quincerail.example/quincerail/program"
 )
 
-// world is an app server among stand-ins. Work on either backend is counted
-// together.
+// world is an app server among stand-ins, or the library's sample service.
+// Work on any backend is counted together.
 type world struct {
-	*program.Server
-	work      *standin.Work
-	processor *standin.Processor
-	ledger    *standin.Ledger
-	announce  *standin.Announce
-	drained   chan struct{}
+	*program.Server // nil for the sample service
+	work            *standin.Work
+	processor       *standin.Processor
+	ledger          *standin.Ledger
+	announce        *standin.Announce
+	drained         chan struct{}
+
+	sample  *gifts.Service // nil for the app server
+	web     *http.Server
+	webAddr string
+	stopIn  time.Duration
 }
 
 // loadConfig gives the example's configuration, listening on any port.
@@ -77,8 +91,55 @@
 	return w
 }
 
+// newSample gives the library's sample service with the classes, memory and
+// grace of the app server's configuration, and a route /CLASS for each class.
+func newSample(t testing.TB, change func(*program.Config)) *world {
+	t.Helper()
+	c := loadConfig(t)
+	if change != nil {
+		change(c)
+	}
+	w := &world{work: standin.NewWork(0), drained: make(chan struct{}), stopIn: c.Stop}
+	cfg := admission.Config{Cores: c.Settings.Cores, Memory: int64(c.Settings.MemoryKB * 1024), MaxBody: 4096,
+		DrainGrace: c.Settings.DrainGrace, Seed: 1}
+	for i, name := range c.Classes {
+		cfg.Classes = append(cfg.Classes, describe.Class{Name: name, Class: c.Settings.Classes[i]})
+		cfg.Routes = append(cfg.Routes, describe.Route{Method: "POST", Path: "/" + name, Class: name})
+	}
+	work := func(ctx context.Context, _ string, body []byte) ([]byte, error) {
+		result, err := w.work.Do(ctx, string(body))
+		return []byte(result), err
+	}
+	w.sample = must(gifts.New(cfg, work))(t)
+	l := must(net.Listen("tcp", "127.0.0.1:0"))(t)
+	w.web, w.webAddr = &http.Server{Handler: w.sample, ReadHeaderTimeout: time.Minute}, l.Addr().String()
+	go w.web.Serve(w.sample.Listener(l))
+	t.Cleanup(func() {
+		w.web.Close()
+		w.sample.Close()
+	})
+	return w
+}
+
+// door is the address whose listener closes when the grace is over.
+func (w *world) door() string {
+	if w.sample != nil {
+		return w.webAddr
+	}
+	return w.Addr().String()
+}
+
 // start has the drain begin.
 func (w *world) start() {
+	if w.sample != nil {
+		go func() {
+			ctx, cancel := context.WithTimeout(context.Background(), w.stopIn)
+			defer cancel()
+			w.sample.Shutdown(ctx, w.web)
+			close(w.drained)
+		}()
+		return
+	}
 	go func() { w.Drain(); close(w.drained) }()
 }
 
@@ -88,20 +149,69 @@
 	if err != nil {
 		t.Errorf("no outcome: %v", err)
 	}
+	counts.add(t.Name(), o.Kind, 1)
 	return o
 }
 
+// tally counts what the suite's scenarios came to, by front.
+type tally struct {
+	mu     sync.Mutex
+	counts map[string]map[string]int // front, kind
+}
+
+// counts is the suite's tally; only TestSuite's scenarios count.
+var counts = &tally{counts: map[string]map[string]int{}}
+
+func (c *tally) add(test, kind string, n int) {
+	scenario, ok := strings.CutPrefix(test, "TestSuite/")
+	if !ok {
+		return
+	}
+	front := scenario[strings.LastIndex(scenario, "/")+1:]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.counts[front] == nil {
+		c.counts[front] = map[string]int{}
+	}
+	c.counts[front][kind] += n
+}
+
+// table gives the counts as a table, and whether they are the same on all fronts.
+func (c *tally) table() (string, bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kinds := []string{"served", "refused", "failed", "rejected", "runs"}
+	var b strings.Builder
+	fmt.Fprintf(&b, "| front | %s |\n|%s\n", strings.Join(kinds, " | "), strings.Repeat(" --- |", len(kinds)+1))
+	same := true
+	for _, f := range fronts {
+		fmt.Fprintf(&b, "| %s |", f.name)
+		for _, k := range kinds {
+			fmt.Fprintf(&b, " %d |", c.counts[f.name][k])
+			same = same && c.counts[f.name][k] == c.counts[fronts[0].name][k]
+		}
+		b.WriteString("\n")
+	}
+	return b.String(), same
+}
+
 // front is a protocol that the suite runs against.
 type front struct {
 	name    string
 	caller  standin.Caller
 	address func(*world) string
+	world   func(testing.TB, func(*program.Config)) *world
 }
 
-var fronts = []front{
-	{"thrift", standin.Thrift, func(w *world) string { return w.Addr().String() }},
-	{"uwsgi", standin.UWSGI, func(w *world) string { return w.UWSGIAddr().String() }},
-}
+// daemon's fronts are the app server's own; the last of fronts is the library's
+// sample service.
+var (
+	daemon = []front{
+		{"thrift", standin.Thrift, func(w *world) string { return w.Addr().String() }, newWorld},
+		{"uwsgi", standin.UWSGI, func(w *world) string { return w.UWSGIAddr().String() }, newWorld},
+	}
+	fronts = append(slices.Clip(daemon), front{"middleware", standin.HTTP, (*world).door, newSample})
+)
 
 // open makes a try without sending it.
 func (f front) open(t testing.TB, w *world, class, key, body string) *standin.Try {
@@ -220,9 +330,14 @@
 	c.Settings.DrainGrace, c.Stop = time.Second, 5*time.Second
 }
 
-// waitReport waits until the announce service has heard of a change.
+// waitReport waits until the announce service has heard of a change, or the
+// sample service's health tells of it.
 func (w *world) waitReport(t testing.TB, accepting bool) {
 	t.Helper()
+	if w.sample != nil {
+		w.waitHealth(t, accepting)
+		return
+	}
 	want := fmt.Sprintf(`PUT /announce/n1 {"accepting":"%t"}`, accepting)
 	timeout := time.After(10 * time.Second)
 	for {
@@ -237,30 +352,56 @@
 	}
 }
 
+func (w *world) waitHealth(t testing.TB, good bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); time.Sleep(time.Millisecond) {
+		resp, err := http.Get("http://" + w.webAddr + gifts.HealthPath)
+		if err != nil {
+			t.Fatal(err)
+		}
+		resp.Body.Close()
+		if (resp.StatusCode == http.StatusOK) == good {
+			return
+		}
+	}
+	t.Fatalf("health never became %t", good)
+}
+
 // waitClosed waits until no new connection is taken: the grace is over.
 func (w *world) waitClosed(t testing.TB) {
 	t.Helper()
 	for deadline := time.Now().Add(10 * time.Second); time.Now().Before(deadline); {
-		try, err := standin.Thrift(w.Addr().String(), "kampanjsida", "", "x")
+		nc, err := net.Dial("tcp", w.door())
 		if err != nil {
 			time.Sleep(2 * time.Millisecond) // door is in whole milliseconds
 			return
 		}
-		try.GiveUp()
+		nc.Close()
 		time.Sleep(time.Millisecond)
 	}
 	t.Fatal("the listener stays open")
 }
 
-// TestSuite runs every scenario, unchanged, against both protocols.
+// TestSuite runs every scenario, unchanged, against both protocols of the app
+// server and against the library's sample service, and sees that the counts of
+// what they came to are the same on all three.
 func TestSuite(t *testing.T) {
+	t.Cleanup(func() {
+		table, same := counts.table()
+		t.Logf("outcomes of the suite by front:\n%s", table)
+		if !same && !t.Failed() {
+			t.Errorf("the fronts differ:\n%s", table)
+		}
+	})
 	for _, s := range scenarios {
 		for _, f := range fronts {
 			t.Run(s.name+"/"+f.name, func(t *testing.T) {
 				t.Parallel()
-				if got := s.play(t, newWorld(t, s.config), f); got != s.want {
+				w := f.world(t, s.config)
+				if got := s.play(t, w, f); got != s.want {
 					t.Errorf("got  %s\nwant %s", got, s.want)
 				}
+				counts.add(t.Name(), "runs", w.work.Total())
 			})
 		}
 	}
@@ -269,8 +410,8 @@
 // TestRepeatAcrossFronts has one gift sent over one protocol and again over the
 // other, while it runs and afterwards: it runs once, and all get its result.
 func TestRepeatAcrossFronts(t *testing.T) {
-	for i, first := range fronts {
-		second := fronts[1-i]
+	for i, first := range daemon {
+		second := daemon[1-i]
 		t.Run(first.name+" then "+second.name, func(t *testing.T) {
 			w := newWorld(t, nil)
 			w.work.Took = 200 * time.Millisecond
--- a/protocol/httpresult/httpresult.go
+++ b/protocol/httpresult/httpresult.go
@@ -44,8 +44,8 @@
 		return http.StatusServiceUnavailable
 	case routing.TimedOut:
 		return http.StatusGatewayTimeout
-	case routing.Rejected:
-		return http.StatusBadRequest
+	case routing.Rejected: // a key that came with another body (draft-ietf-httpapi-idempotency-key-header, 2.7)
+		return http.StatusUnprocessableEntity
 	}
 	return http.StatusBadGateway
 }
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -21,10 +21,14 @@
 		}
 		earlier = c.keys.enter(a)
 	}
-	c.module.Request(c.now, decision.Request{
+	r := decision.Request{
 		ID: a.ID, Class: a.class, Key: a.Item, HeldKB: a.HeldKB, Rank: a.Rank, From: a.Caller,
 		Write: a.kind.Effect != decision.Safe, Waited: c.now - a.door, Earlier: earlier,
-	})
+	}
+	if a.due < a.door+a.kind.Deadline { // the caller said that it waits less
+		r.Due = a.due
+	}
+	c.module.Request(c.now, r)
 }
 
 // Gone tells that a caller no longer waits for the request that it handed in with
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -69,6 +69,9 @@
 	// A caller's clock ahead of ours can't have made it come after now.
 	a.door = min(a.door, c.now)
 	a.due = a.door + a.kind.Deadline
+	if told := time.Duration(r.Due.UnixNano()); !r.Due.IsZero() && told < a.due {
+		a.due = told
+	}
 	if a.backend == nil {
 		a.backend = c.opt.Backend
 	}
