Match routes in a trie, and take allocations and stack growth off the library's path

Measured first (BenchmarkSafe, a chi router on httptest, 8 cores): 16.7 us against 2.1 us bare, 36 allocations more. The profiles showed: Routes.Match splitting paths (4 allocations a request), Request.Clone and the recorder each cloning headers, three contexts a run, io.ReadAll's first buffer, and stack copying in a new goroutine per run (copystack 5%), beside the goroutine handoffs of the loop (futex 8%).

Change: describe.Table, a trie of path segments compiled once, gives what Routes.Match gives without splitting or allocating; the library and the uwsgi front use it. A run has one context, with its deadline; the recorder keeps the headers as fields when the status is written; a body of known length is read into a slice of that length; runs go to goroutines that have run before and wait 10 s for the next.

--- a/admission/frameworks_test.go
+++ b/admission/frameworks_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -141,3 +143,38 @@
 		t.Errorf("stats %+v, want one gone", got)
 	}
 }
+
+// TestBusyHandler has a handler take the only core and never wait: the module's
+// timers still come, its caller is answered by its due time, and the handler
+// counts as stuck until it lets go.
+func TestBusyHandler(t *testing.T) {
+	defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+	var release atomic.Bool
+	begun := make(chan struct{}, 1)
+	spin := http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		begun <- struct{}{}
+		for !release.Load() {
+		}
+	})
+	a, url := serve(t, func(*http.Server) {}, same, spin)
+	began := time.Now()
+	resp, err := http.Post(url+"/sida", "text/plain", strings.NewReader("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	resp.Body.Close()
+	if took := time.Since(began); resp.StatusCode != http.StatusServiceUnavailable || took > 3*time.Second+time.Second {
+		t.Errorf("status %d after %v, want 503 within the deadline of 3 s", resp.StatusCode, took)
+	}
+	<-begun
+	for a.Stats().Stuck != 1 { // it is told to stop in the batch that answered it
+		runtime.Gosched()
+	}
+	release.Store(true)
+	for a.Stats().Running != 0 {
+		runtime.Gosched()
+	}
+	if got := a.Stats(); got.Stuck != 0 || got.Refused != 1 {
+		t.Errorf("stats %+v once it let go", got)
+	}
+}
--- a/admission/run.go
+++ b/admission/run.go
@@ -4,7 +4,6 @@
 	"bytes"
 	"context"
 	"fmt"
-	"io"
 	"net/http"
 	"slices"
 	"sync/atomic"
@@ -31,38 +30,80 @@
 	s       *Server
 	next    http.Handler
 	request *http.Request
-	ctx     context.Context
 	cancel  context.CancelFunc
 	state   atomic.Int32
 	halted  atomic.Int64 // when it was told to stop, in Unix nanoseconds
 }
 
 func (s *Server) newRun(next http.Handler, r *http.Request) *run {
-	// The module says when a run is stopped, not the caller's connection: a keyed
-	// run goes on after its caller left, so that a repeat gets its result.
-	ctx, cancel := context.WithCancel(context.WithoutCancel(r.Context()))
-	return &run{s: s, next: next, request: r, ctx: ctx, cancel: cancel}
+	return &run{s: s, next: next, request: r}
 }
 
-// Begin implements routing.Backend.
+// Begin implements routing.Backend. The module says when a run is stopped, not
+// the caller's connection: a keyed run goes on after its caller left, so that
+// a repeat gets its result.
 func (b *run) Begin(r routing.Run) {
 	b.s.stats.runs.Add(1)
 	b.s.stats.running.Add(1)
-	go b.serve(r)
+	ctx, cancel := context.WithDeadline(context.WithoutCancel(b.request.Context()), r.Due)
+	b.cancel = cancel // before Interrupt can come, on the core's goroutine
+	b.s.workers.start(job{b, ctx, r})
 }
 
-func (b *run) serve(r routing.Run) {
+// workerIdle is how long a goroutine that has run a handler waits for the next
+// before it ends.
+const workerIdle = 10 * time.Second
+
+// workers are goroutines that have run handlers and wait for more, so that the
+// next run finds a stack grown to its handler's size (a new goroutine starts
+// small and copies its stack as it grows, for every request).
+type workers struct {
+	jobs chan job
+	done <-chan struct{}
+}
+
+// job is a run for a worker.
+type job struct {
+	run *run
+	ctx context.Context
+	r   routing.Run
+}
+
+// start gives a job to a worker that waits, or to a new one.
+func (w *workers) start(j job) {
+	select {
+	case w.jobs <- j:
+	default:
+		go w.work(j)
+	}
+}
+
+func (w *workers) work(j job) {
+	idle := time.NewTimer(workerIdle)
+	defer idle.Stop()
+	for {
+		j.run.serve(j.ctx, j.r)
+		idle.Reset(workerIdle)
+		select {
+		case j = <-w.jobs:
+		case <-idle.C:
+			return
+		case <-w.done:
+			return
+		}
+	}
+}
+
+func (b *run) serve(ctx context.Context, r routing.Run) {
 	defer b.cancel()
-	ctx, cancel := context.WithDeadline(b.ctx, r.Due)
-	defer cancel()
 	began := time.Now()
 	w := &recorder{header: make(http.Header)}
 	req := b.request.Clone(ctx)
-	req.Body = io.NopCloser(bytes.NewReader(r.Payload.Body))
-	req.ContentLength = int64(len(r.Payload.Body))
+	req.Body, req.ContentLength = &body{Reader: bytes.NewReader(r.Payload.Body)}, int64(len(r.Payload.Body))
 	panicked := w.serve(b.next, req)
 	b.s.stats.running.Add(-1)
-	if b.state.Swap(returned) == halted {
+	stopped := b.state.Swap(returned) == halted
+	if stopped {
 		b.s.stats.stuck.Add(-1)
 		if late := time.Since(time.Unix(0, b.halted.Load())); late > stuckAfter {
 			b.s.cfg.Logger.Warn("handler returned long after it was told to stop", "class", r.Class, "id", r.ID,
@@ -77,7 +118,7 @@
 	}
 	end := routing.Good
 	switch {
-	case b.ctx.Err() != nil:
+	case stopped:
 		end = routing.Cut
 	case panicked != nil || ctx.Err() != nil: // what a handler says whose time ran out is no result
 		b.s.core.Completed(r.ID, routing.Bad, time.Since(began), routing.Payload{})
@@ -98,6 +139,12 @@
 	b.cancel()
 }
 
+// body is a request's body as the handler reads it.
+type body struct{ *bytes.Reader }
+
+// Close implements io.Closer.
+func (body) Close() error { return nil }
+
 // Answer implements routing.Backend: handlers make their calls themselves.
 func (b *run) Answer(string, []byte) {}
 
@@ -108,7 +155,7 @@
 // reaches the caller before the handler has returned.
 type recorder struct {
 	header http.Header
-	sent   http.Header // as it was when the status was written
+	sent   []routing.Field // the headers as they were when the status was written
 	status int
 	body   bytes.Buffer
 }
@@ -116,10 +163,22 @@
 // Header implements http.ResponseWriter.
 func (w *recorder) Header() http.Header { return w.header }
 
-// WriteHeader implements http.ResponseWriter.
+// WriteHeader implements http.ResponseWriter. What the handler changes in the
+// headers afterwards is not sent, as under net/http.
 func (w *recorder) WriteHeader(status int) {
-	if w.status == 0 && status >= http.StatusOK {
-		w.status, w.sent = status, w.header.Clone()
+	if w.status != 0 || status < http.StatusOK {
+		return
+	}
+	w.status = status
+	names := make([]string, 0, len(w.header))
+	for name := range w.header {
+		names = append(names, name)
+	}
+	slices.Sort(names)
+	for _, name := range names {
+		for _, value := range w.header[name] {
+			w.sent = append(w.sent, routing.Field{Name: name, Value: value})
+		}
 	}
 }
 
@@ -139,16 +198,5 @@
 }
 
 func (w *recorder) result() routing.Payload {
-	names := make([]string, 0, len(w.sent))
-	for name := range w.sent {
-		names = append(names, name)
-	}
-	slices.Sort(names)
-	var headers []routing.Field
-	for _, name := range names {
-		for _, value := range w.sent[name] {
-			headers = append(headers, routing.Field{Name: name, Value: value})
-		}
-	}
-	return httpresult.Encode(w.status, headers, w.body.Bytes())
+	return httpresult.Encode(w.status, w.sent, w.body.Bytes())
 }
--- a/admission/server.go
+++ b/admission/server.go
@@ -34,6 +34,7 @@
 	"sync/atomic"
 	"time"
 
+	"quincerail.example/quincerail/describe"
 	"quincerail.example/quincerail/routing"
 )
 
@@ -41,11 +42,13 @@
 // for concurrent use.
 type Server struct {
 	cfg      Config
+	table    *describe.Table // of cfg.Routes
 	core     *routing.Core
 	stop     context.CancelFunc
 	draining atomic.Bool
 	stats    counters
 	conns    conns
+	workers  workers
 }
 
 // New makes a server and sets it to work; Close ends it. The error names the
@@ -64,7 +67,8 @@
 	ctx, stop := context.WithCancel(context.Background())
 	go core.Run(ctx)
 	core.Started(false, 0)
-	return &Server{cfg: cfg, core: core, stop: stop}, nil
+	return &Server{cfg: cfg, table: cfg.Routes.Compile(), core: core, stop: stop,
+		workers: workers{jobs: make(chan job), done: ctx.Done()}}, nil
 }
 
 // Config gives the configuration in force, with its defaults filled in.
--- a/admission/wrap.go
+++ b/admission/wrap.go
@@ -22,7 +22,7 @@
 // others go to next untouched.
 func (s *Server) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		route, ok := s.cfg.Routes.Match(r.Method, r.URL.Path)
+		route, ok := s.table.Match(r.Method, r.URL.Path)
 		if !ok {
 			s.stats.passed.Add(1)
 			next.ServeHTTP(w, r)
@@ -35,7 +35,7 @@
 // admit has one request decided, run and answered.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request, route describe.Route, next http.Handler) {
 	door := time.Now()
-	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, s.cfg.MaxBody))
+	body, err := readBody(w, r, s.cfg.MaxBody)
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		s.stats.rejected.Add(1)
 		http.Error(w, http.StatusText(http.StatusRequestEntityTooLarge), http.StatusRequestEntityTooLarge)
@@ -124,3 +124,23 @@
 	w.Header().Set("Retry-After", httpresult.RetryAfter(later))
 	http.Error(w, http.StatusText(http.StatusServiceUnavailable), http.StatusServiceUnavailable)
 }
+
+// readBody reads a request's body, at most limit bytes of it, into a slice of
+// its length where the length is told.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64) ([]byte, error) {
+	if r.Body == nil || r.Body == http.NoBody {
+		return nil, nil
+	}
+	if r.ContentLength > limit {
+		return nil, &http.MaxBytesError{Limit: limit}
+	}
+	body := http.MaxBytesReader(w, r.Body, limit)
+	if r.ContentLength <= 0 {
+		return io.ReadAll(body)
+	}
+	b := make([]byte, r.ContentLength)
+	if _, err := io.ReadFull(body, b); err != nil {
+		return nil, err
+	}
+	return b, nil
+}
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -34,7 +34,7 @@
 // uwsgiSettings is the configuration in force, which a reload replaces.
 type uwsgiSettings struct {
 	*UWSGIConfig
-	table describe.Routes
+	table *describe.Table
 }
 
 func newUWSGIFront(core *routing.Core, backend routing.Backend, config *UWSGIConfig) *uwsgiFront {
@@ -46,7 +46,7 @@
 // reload takes over a configuration for the requests to come. It tells whether
 // another address to listen on was asked for, which needs a restart.
 func (f *uwsgiFront) reload(config *UWSGIConfig) (listenChanged bool) {
-	was := f.now.Swap(&uwsgiSettings{config, config.routes()})
+	was := f.now.Swap(&uwsgiSettings{config, config.routes().Compile()})
 	return was != nil && was.Listen != config.Listen
 }
 
