Add match: classes and keys from CEL rules, checked and cost-bounded at load

Rules that operators write must be typed, checked before use, compiled once and bounded in the work of each evaluation.

--- /dev/null
+++ b/match/file.go
@@ -0,0 +1,49 @@
+package match
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/BurntSushi/toml"
+)
+
+// File is a rule file as an operator writes it, in TOML:
+//
+//	max_cost = 50000          # optional: a rule's bound in CEL's cost units
+//	[[rule]]
+//	name  = "gava"
+//	match = 'method == "POST" && path == "/gavor"'
+//	class = '"ny-gava"'
+//	key   = 'headers["idempotency-key"]'
+type File struct {
+	MaxCost uint64 `toml:"max_cost"`
+	Rules   []Rule `toml:"rule"`
+}
+
+// Parse reads the rules of a file's text and compiles them for the classes.
+// A key that the file's form does not know is refused, as a misspelt one
+// would be ignored.
+func Parse(text string, classes []string) (*Set, error) {
+	var f File
+	md, err := toml.Decode(text, &f)
+	if err != nil {
+		return nil, fmt.Errorf("match: %w", err)
+	}
+	if unknown := md.Undecoded(); len(unknown) > 0 {
+		return nil, fmt.Errorf("match: %s: no such key", unknown[0])
+	}
+	return Compile(f.Rules, Options{Classes: classes, MaxCost: f.MaxCost})
+}
+
+// Load reads and compiles a rule file.
+func Load(path string, classes []string) (*Set, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("match: %w", err)
+	}
+	s, err := Parse(string(text), classes)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return s, nil
+}
