--- a/admission/admission_test.go
+++ b/admission/admission_test.go
@@ -18,6 +18,7 @@
 
 	"quincerail.example/quincerail/admission"
 	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/match"
 )
 
 // service is a chi router with the middleware, called without a network.
@@ -293,3 +294,37 @@
 		}
 	}
 }
+
+// TestRules has rules classify what the routes do not: a gift with its key in
+// the body runs once, and a new rule set takes over for the requests to come.
+func TestRules(t *testing.T) {
+	var rules match.Rules
+	set := func(class string) *match.Set {
+		s, err := match.Parse(fmt.Sprintf(`
+[[rule]]
+name  = "gava"
+match = 'path == "/om" && body.has_json("gava")'
+class = '"%s"'
+key   = 'body.json("gava")'`, class), []string{"kampanjsida", "ny-gava"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return s
+	}
+	rules.Replace(set("ny-gava"))
+	bubble(t, func(c *admission.Config) { c.Rules = &rules }, func(t *testing.T, s *service) {
+		ctx := t.Context()
+		for range 2 {
+			want(t, s.ask(ctx, "GET", "/om", "", `{"gava": "g1"}`), http.StatusOK, "om oss")
+		}
+		want(t, s.ask(ctx, "GET", "/om", "", `{"annat": 1}`), http.StatusOK, "om oss")
+		if got := s.a.Stats(); got.Runs != 1 || got.Served != 2 || got.Passed != 1 {
+			t.Errorf("stats %+v, want one run for two served, one passed", got)
+		}
+		rules.Replace(set("kampanjsida"))
+		want(t, s.ask(ctx, "GET", "/om", "", `{"gava": "g1"}`), http.StatusOK, "om oss")
+		if got := s.a.Stats(); got.Runs != 2 {
+			t.Errorf("with the new rules the request is safe and runs: %+v", got)
+		}
+	})
+}
--- a/admission/config.go
+++ b/admission/config.go
@@ -9,6 +9,7 @@
 
 	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/match"
 )
 
 // The figures that a Config does not give, as the platform has them (PROTOCOL:
@@ -35,8 +36,12 @@
 	// effects; package describe reads them from OpenAPI and AsyncAPI documents.
 	Classes []describe.Class
 	// Routes lead requests to classes, by method and path. Requests that no
-	// route matches pass to the handler untouched.
+	// route matches, and no rule takes, pass to the handler untouched.
 	Routes describe.Routes
+	// Rules, where not nil, give class and key before the routes are looked at:
+	// the first rule that takes a request decides (package match). Their set may
+	// be replaced while requests come; each request is classified by one set.
+	Rules *match.Rules
 	// Cores is the number of cores that the handlers share; 0 for GOMAXPROCS.
 	Cores int
 	// Memory is what held and running requests and kept results may take, in
--- a/admission/run.go
+++ b/admission/run.go
@@ -99,7 +99,7 @@
 	began := time.Now()
 	w := &recorder{header: make(http.Header)}
 	req := b.request.Clone(ctx)
-	req.Body, req.ContentLength = &body{Reader: bytes.NewReader(r.Payload.Body)}, int64(len(r.Payload.Body))
+	req.Body, req.ContentLength = &bodyReader{bytes.NewReader(r.Payload.Body)}, int64(len(r.Payload.Body))
 	panicked := w.serve(b.next, req)
 	b.s.stats.running.Add(-1)
 	stopped := b.state.Swap(returned) == halted
@@ -139,11 +139,11 @@
 	b.cancel()
 }
 
-// body is a request's body as the handler reads it.
-type body struct{ *bytes.Reader }
+// bodyReader is a request's body as a handler reads it, from what was read.
+type bodyReader struct{ *bytes.Reader }
 
 // Close implements io.Closer.
-func (body) Close() error { return nil }
+func (bodyReader) Close() error { return nil }
 
 // Answer implements routing.Backend: handlers make their calls themselves.
 func (b *run) Answer(string, []byte) {}
--- a/admission/wrap.go
+++ b/admission/wrap.go
@@ -1,12 +1,14 @@
 package admission
 
 import (
+	"bytes"
 	"errors"
 	"io"
 	"net/http"
 	"time"
 
 	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/protocol/httpresult"
 	"quincerail.example/quincerail/routing"
 )
@@ -22,41 +24,68 @@
 // others go to next untouched.
 func (s *Server) Wrap(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		door := time.Now()
+		var rules *match.Set
+		if s.cfg.Rules != nil {
+			rules = s.cfg.Rules.Load()
+		}
+		var body []byte
+		if rules != nil && rules.UsesBody() { // read before it is known whether it is taken
+			var ok bool
+			if body, ok = s.read(w, r); !ok {
+				return
+			}
+			r.Body = &bodyReader{bytes.NewReader(body)}
+		}
+		if rules != nil {
+			if res, ok := rules.Classify(match.FromHTTP(r, body)); ok {
+				s.admit(w, r, door, res.Class, res.Key, next)
+				return
+			}
+		}
 		route, ok := s.table.Match(r.Method, r.URL.Path)
 		if !ok {
 			s.stats.passed.Add(1)
 			next.ServeHTTP(w, r)
 			return
 		}
-		s.admit(w, r, route, next)
+		key := r.Header.Get(route.KeyHeader)
+		if route.KeyHeader == "" {
+			key = r.Header.Get(describe.DefaultKeyHeader)
+		}
+		s.admit(w, r, door, route.Class, key, next)
 	})
 }
 
-// admit has one request decided, run and answered.
-func (s *Server) admit(w http.ResponseWriter, r *http.Request, route describe.Route, next http.Handler) {
-	door := time.Now()
+// read reads a request's body, or answers the request if it can't.
+func (s *Server) read(w http.ResponseWriter, r *http.Request) ([]byte, bool) {
 	body, err := readBody(w, r, s.cfg.MaxBody)
 	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		s.stats.rejected.Add(1)
 		http.Error(w, http.StatusText(http.StatusRequestEntityTooLarge), http.StatusRequestEntityTooLarge)
-		return
+		return nil, false
 	} else if err != nil { // the caller's connection broke while it sent
 		s.stats.gone.Add(1)
-		return
+		return nil, false
 	}
-	key := r.Header.Get(route.KeyHeader)
-	if route.KeyHeader == "" {
-		key = r.Header.Get(describe.DefaultKeyHeader)
+	return body, true
+}
+
+// admit has one request of a class decided, run and answered.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, door time.Time, class, key string, next http.Handler) {
+	body, ok := s.read(w, r)
+	if !ok {
+		return
 	}
 	answer, id := make(sink, 1), routing.NewID()
-	err = s.core.Submit(routing.Request{ID: id, Class: route.Class, Key: key, Door: door, Due: writeDue(r, door),
+	err := s.core.Submit(routing.Request{ID: id, Class: class, Key: key, Door: door, Due: writeDue(r, door),
 		HeldKB: baseKB + float64(len(body))/1024, Payload: routing.Payload{Body: body},
 		Backend: s.newRun(next, r), Sink: answer})
 	if errors.Is(err, routing.ErrStopped) {
 		s.stats.refused.Add(1)
 		refuse(w, maxAdvice)
 		return
-	} else if err != nil { // a keyed class without its key, or one too long
+	} else if err != nil { // a keyed class without its key, or one too long, or a class that is not known
 		s.stats.rejected.Add(1)
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -49,6 +49,7 @@
 	uwsgi     string
 	control   string
 	exited    chan error
+	reloads   chan string // log lines of SIGHUP's outcome
 }
 
 func must[T any](t *testing.T, v T, err error) T {
@@ -88,9 +89,9 @@
 
 // startOn starts a node with both fronts, or one that inherits its listening
 // socket and shares a folder with others.
-func startOn(t *testing.T, socket *os.File, shared string) *node {
+func startOn(t *testing.T, socket *os.File, shared string, args ...string) *node {
 	t.Helper()
-	n := &node{work: standin.NewWork(0), exited: make(chan error, 1)}
+	n := &node{work: standin.NewWork(0), exited: make(chan error, 1), reloads: make(chan string, 16)}
 	var err error
 	n.processor, err = standin.NewProcessor(anyPort, n.work)
 	must(t, 0, err)
@@ -113,7 +114,7 @@
 	}
 	must(t, 0, os.WriteFile(front, []byte(text), 0o600))
 
-	n.cmd = exec.Command(binary, "-uwsgi", front)
+	n.cmd = exec.Command(binary, append([]string{"-uwsgi", front}, args...)...)
 	n.cmd.Env = append(os.Environ(), "GW_CONFIG="+n.config)
 	if socket != nil {
 		n.cmd.Args, n.cmd.ExtraFiles = n.cmd.Args[:1], []*os.File{socket}
@@ -134,6 +135,11 @@
 		for lines := bufio.NewScanner(stderr); lines.Scan(); {
 			if m := listening.FindStringSubmatch(lines.Text()); m != nil {
 				addresses <- m[2]
+			} else if strings.Contains(lines.Text(), "event=reload") {
+				select {
+				case n.reloads <- lines.Text():
+				default:
+				}
 			}
 		}
 		n.exited <- n.cmd.Wait()
@@ -386,3 +392,41 @@
 		}
 	}
 }
+
+// TestRulesFile starts the program with rules that make a gift of every request
+// whose body names one; a rule file that is refused at SIGHUP leaves them in
+// force, and one that is refused at the start ends the program, naming the rule.
+func TestRulesFile(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "rules.toml")
+	good := "[[rule]]\nname = 'gava'\nmatch = 'body.has_json(\"gava\")'\nclass = '\"ny-gava\"'\nkey = 'body.json(\"gava\")'\n"
+	bad := "[[rule]]\nname = 'trasig'\nmatch = 'size(path)'\nclass = '\"ny-gava\"'\n"
+	must(t, 0, os.WriteFile(path, []byte(good), 0o600))
+	n := startOn(t, nil, "", "-rules", path)
+	twice := func(body string) int {
+		for range 2 {
+			if got := n.ask(t, standin.Thrift, n.thrift, "kampanjsida", "", body); got.Body != "done: "+body {
+				t.Errorf("%s: %v", body, got)
+			}
+		}
+		return n.work.Runs(body)
+	}
+	if runs := twice(`{"gava": "g1"}`); runs != 1 {
+		t.Errorf("a gift by the rules ran %d times", runs)
+	}
+	must(t, 0, os.WriteFile(path, []byte(bad), 0o600))
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGHUP))
+	if line := <-n.reloads; !strings.Contains(line, "reload_failed") || !strings.Contains(line, "trasig.match") {
+		t.Errorf("after a rule file that is refused: %s", line)
+	}
+	if runs := twice(`{"gava": "g2"}`); runs != 1 {
+		t.Errorf("after the refused file, a gift by the rules ran %d times", runs)
+	}
+
+	cmd := exec.Command(binary, "-rules", path)
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+writeConfig(t, nil))
+	out, err := cmd.CombinedOutput()
+	if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "trasig.match: gives int") {
+		t.Errorf("started with a bad rule file: %v, %q", err, out)
+	}
+}
--- a/describe/asyncapi.go
+++ b/describe/asyncapi.go
@@ -42,6 +42,7 @@
 			Path:      channel.Get("address").String(),
 			Class:     class,
 			KeyHeader: cmp.Or(op.Get(extKey).String(), DefaultKeyHeader),
+			Rule:      op.Get(extRule).String(),
 		})
 		return true
 	})
--- a/describe/describe.go
+++ b/describe/describe.go
@@ -6,6 +6,8 @@
 //	    late_worth, effect (safe, keyed or unsafe) and window_ms
 //	x-quincerail-class (at an operation): the operation's class
 //	x-quincerail-key (at an operation): the header with the key of a keyed class
+//	x-quincerail-rule (at an operation): the matching rule that should take it
+//	    (package match compares the two)
 package describe
 
 import (
@@ -25,6 +27,7 @@
 	extClasses = "x-quincerail-classes"
 	extClass   = "x-quincerail-class"
 	extKey     = "x-quincerail-key"
+	extRule    = "x-quincerail-rule"
 )
 
 // DefaultKeyHeader brings the key where a document names no other.
@@ -42,6 +45,7 @@
 	Path      string // with {name} for one segment
 	Class     string
 	KeyHeader string
+	Rule      string // the matching rule that the description says takes it; may be empty
 }
 
 // Document is what a service offers.
--- a/describe/describe_test.go
+++ b/describe/describe_test.go
@@ -23,13 +23,13 @@
 func TestDocuments(t *testing.T) {
 	for name, want := range map[string]Routes{
 		"openapi.json": {
-			{"POST", "/gavor", "ny-gava", "X-Gava"},
-			{"GET", "/kampanjer/alla", "kampanjsida", "X-Alla"},
-			{"GET", "/kampanjer/{kampanj}", "kampanjsida", DefaultKeyHeader},
+			{"POST", "/gavor", "ny-gava", "X-Gava", ""},
+			{"GET", "/kampanjer/alla", "kampanjsida", "X-Alla", ""},
+			{"GET", "/kampanjer/{kampanj}", "kampanjsida", DefaultKeyHeader, ""},
 		},
 		"asyncapi.json": {
-			{"POST", "/gavor", "ny-gava", DefaultKeyHeader},
-			{"PUT", "/kvitton", "ny-gava", "X-Kvitto"},
+			{"POST", "/gavor", "ny-gava", DefaultKeyHeader, ""},
+			{"PUT", "/kvitton", "ny-gava", "X-Kvitto", ""},
 		},
 	} {
 		d, err := Load([]byte(load(t, name)))
--- a/describe/openapi.go
+++ b/describe/openapi.go
@@ -30,7 +30,8 @@
 				continue
 			}
 			key, _ := op.Extensions[extKey].(string)
-			d.Routes = append(d.Routes, Route{method, path, class, cmp.Or(key, DefaultKeyHeader)})
+			rule, _ := op.Extensions[extRule].(string)
+			d.Routes = append(d.Routes, Route{method, path, class, cmp.Or(key, DefaultKeyHeader), rule})
 		}
 	}
 	slices.SortFunc(d.Routes, func(a, b Route) int {
--- a/match/match.go
+++ b/match/match.go
@@ -199,6 +199,9 @@
 	return c, problems
 }
 
+// Len is the number of rules.
+func (s *Set) Len() int { return len(s.rules) }
+
 // Warnings names pairs of rules that the checker found to take the same
 // request, with the request; the earlier one wins.
 func (s *Set) Warnings() []string { return s.warnings }
--- a/program/config.go
+++ b/program/config.go
@@ -14,6 +14,7 @@
 
 	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/internal/wire"
+	"quincerail.example/quincerail/match"
 )
 
 // Config is what the app server is told.
@@ -29,7 +30,8 @@
 	Sockets                     int
 	Classes                     []string
 	Settings                    decision.Settings
-	Gauges                      []string // names, in the order in which the processor gives them
+	Gauges                      []string   // names, in the order in which the processor gives them
+	Rules                       *match.Set // of the operator's rule file, where there is one; nil for none
 	text                        string
 }
 
--- a/program/fronts_test.go
+++ b/program/fronts_test.go
@@ -11,6 +11,7 @@
 
 	"quincerail.example/quincerail/internal/standin"
 	"quincerail.example/quincerail/internal/steps"
+	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/protocol/thrift"
 	"quincerail.example/quincerail/protocol/uwsgi"
 	"quincerail.example/quincerail/routing"
@@ -61,7 +62,7 @@
 	}
 	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
 		b := newInstant(t)
-		front := newThriftFront(b.core)
+		front := newThriftFront(b.core, &match.Rules{})
 		far, ended := dial(front)
 		replies := make(map[int32]int)
 		read := make(chan struct{})
@@ -151,7 +152,7 @@
 func FuzzUWSGIConn(f *testing.F) {
 	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
 		b := newInstant(t)
-		front := newUWSGIFront(b.core, b, uwsgiTestConfig())
+		front := newUWSGIFront(b.core, b, uwsgiTestConfig(), &match.Rules{})
 		far, ended := dial(front)
 		packet, err := uwsgi.AppendRequest(nil, []uwsgi.Var{{Name: "REQUEST_METHOD", Value: "POST"},
 			{Name: "PATH_INFO", Value: "/gavor"}, {Name: "HTTP_IDEMPOTENCY_KEY", Value: "k"}}, []byte("10 kr"))
@@ -226,7 +227,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				b := newInstant(t)
-				far, ended := dial(newUWSGIFront(b.core, b, uwsgiTestConfig()))
+				far, ended := dial(newUWSGIFront(b.core, b, uwsgiTestConfig(), &match.Rules{}))
 				packet, err := uwsgi.AppendRequest(nil, x.vars, []byte(x.body))
 				if err != nil {
 					t.Fatal(err)
@@ -246,7 +247,7 @@
 func TestUWSGIPing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newInstant(t)
-		far, ended := dial(newUWSGIFront(b.core, b, uwsgiTestConfig()))
+		far, ended := dial(newUWSGIFront(b.core, b, uwsgiTestConfig(), &match.Rules{}))
 		go far.Write([]byte{uwsgi.ModifierPing, 0, 0, 0})
 		pong := make([]byte, 4)
 		if _, err := far.Read(pong); err != nil || string(pong) != string(uwsgi.AppendPong(nil)) {
@@ -278,7 +279,7 @@
 func TestThriftCrowded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newInstant(t)
-		front := newThriftFront(b.core)
+		front := newThriftFront(b.core, &match.Rules{})
 		said := make(map[string]chan string) // what each connection hears, until it ends
 		open := func(name string, says []byte) {
 			far, _ := dial(front)
@@ -350,7 +351,7 @@
 func TestThriftFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newInstant(t)
-		far, ended := dial(newThriftFront(b.core))
+		far, ended := dial(newThriftFront(b.core, &match.Rules{}))
 		r := bufio.NewReader(far)
 		good := map[string]string{"verb": "kampanjsida", "txn": "0000000000000001", "lb": "1", "ram": "1", "standing": "0"}
 		seq := int32(0)
--- a/program/program.go
+++ b/program/program.go
@@ -11,6 +11,7 @@
 	"sync/atomic"
 	"time"
 
+	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/transport"
 )
@@ -62,6 +63,7 @@
 	doors    []door            // the first is the platform's
 	control  *transport.Server // where operators call; may be nil
 	handover *handoverDoor     // nil where the listening socket is not inherited
+	rules    *match.Rules      // the operator's rules, that the fronts ask first
 	serving  atomic.Bool
 	quiet    context.CancelFunc // ends the reports
 	stop     context.CancelFunc
@@ -85,7 +87,12 @@
 		return nil, err
 	}
 	link.core, pool.core = core, core
-	s := &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core), idle: idle}
+	rules := &match.Rules{}
+	if c.Rules != nil {
+		rules.Replace(c.Rules)
+	}
+	s := &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules), idle: idle,
+		rules: rules}
 	s.config.Store(c)
 	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
 		return nil, err
@@ -101,7 +108,7 @@
 	}
 	if u != nil {
 		s.backend = newUWSGIBackend(core, u.Backend)
-		s.uwsgi = newUWSGIFront(core, s.backend, u)
+		s.uwsgi = newUWSGIFront(core, s.backend, u, rules)
 		if err := s.listen("uwsgi listen", u.Listen, 0, int(float64(c.Sockets)*uwsgiShare), s.uwsgi); err != nil {
 			s.doors[0].server.Close()
 			return nil, err
@@ -211,6 +218,9 @@
 	s.link.link.Move(c.Processor)
 	s.pool.move(c.Ledger)
 	s.presence.move(c.Announce)
+	if c.Rules != nil {
+		log.Printf("event=rules version=%d rules=%d", s.rules.Replace(c.Rules), c.Rules.Len())
+	}
 	stays := map[string]bool{"name": c.Name != was.Name, "listen": c.Listen != was.Listen, "control": c.Control != was.Control,
 		"limits.sockets": c.Sockets != was.Sockets, "settings.familyInfo.ownStats": !slices.Equal(c.Gauges, was.Gauges)}
 	if s.uwsgi != nil && u != nil {
--- a/program/suite_test.go
+++ b/program/suite_test.go
@@ -17,6 +17,7 @@
 	"quincerail.example/quincerail/describe"
 	"quincerail.example/quincerail/example/web/gifts"
 	"quincerail.example/quincerail/internal/standin"
+	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/program"
 )
 
@@ -102,6 +103,10 @@
 	w := &world{work: standin.NewWork(0), drained: make(chan struct{}), stopIn: c.Stop}
 	cfg := admission.Config{Cores: c.Settings.Cores, Memory: int64(c.Settings.MemoryKB * 1024), MaxBody: 4096,
 		DrainGrace: c.Settings.DrainGrace, Seed: 1}
+	if c.Rules != nil {
+		cfg.Rules = &match.Rules{}
+		cfg.Rules.Replace(c.Rules)
+	}
 	for i, name := range c.Classes {
 		cfg.Classes = append(cfg.Classes, describe.Class{Name: name, Class: c.Settings.Classes[i]})
 		cfg.Routes = append(cfg.Routes, describe.Route{Method: "POST", Path: "/" + name, Class: name})
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/protocol/thrift"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/transport"
@@ -26,6 +27,7 @@
 // thriftFront is the front for the balancers' protocol.
 type thriftFront struct {
 	core  *routing.Core
+	rules *match.Rules
 	conns registry[*thriftConn]
 
 	newcomers int // since room was made; both belong to the accepting goroutine
@@ -34,8 +36,9 @@
 
 // thriftConn is one connection of a balancer.
 type thriftConn struct {
-	core *routing.Core
-	conn *transport.Conn
+	core  *routing.Core
+	rules *match.Rules
+	conn  *transport.Conn
 
 	last int32 // sequence number; of the connection's goroutine alone
 
@@ -45,13 +48,13 @@
 	leaving time.Time // when that was said; zero before
 }
 
-func newThriftFront(core *routing.Core) *thriftFront {
-	return &thriftFront{core: core, conns: newRegistry[*thriftConn]()}
+func newThriftFront(core *routing.Core, rules *match.Rules) *thriftFront {
+	return &thriftFront{core: core, rules: rules, conns: newRegistry[*thriftConn]()}
 }
 
 // serve works one connection. Requests still open when it ends have lost their caller.
 func (f *thriftFront) serve(c *transport.Conn) {
-	t := &thriftConn{core: f.core, conn: c, open: make(map[string]int32), ids: make(map[int32]string)}
+	t := &thriftConn{core: f.core, rules: f.rules, conn: c, open: make(map[string]int32), ids: make(map[int32]string)}
 	f.conns.add(t)
 	c.ExpectWithin(thriftWithin, t.owes)
 	c.Serve(func(r *bufio.Reader) error {
@@ -139,7 +142,13 @@
 	}
 	t.open[id], t.ids[m.Seq] = m.Seq, id
 	t.mu.Unlock()
-	err = t.core.Submit(routing.Request{ID: id, Class: m.Fields["verb"], Key: m.Fields["unique"], Item: m.Fields["item"],
+	class, key := m.Fields["verb"], m.Fields["unique"] // as the platform has them, where no rule says otherwise
+	if set := t.rules.Load(); set != nil {
+		if res, ok := set.Classify(match.FromFields(m.Fields, m.Body)); ok {
+			class, key = res.Class, res.Key
+		}
+	}
+	err = t.core.Submit(routing.Request{ID: id, Class: class, Key: key, Item: m.Fields["item"],
 		Door: time.UnixMilli(door), Caller: caller, HeldKB: ram, Rank: rank,
 		Payload: routing.Payload{Body: m.Body}, Sink: t})
 	if err != nil {
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/protocol/httpresult"
 	"quincerail.example/quincerail/protocol/uwsgi"
 	"quincerail.example/quincerail/routing"
@@ -26,6 +27,7 @@
 // uwsgiFront is the front for the uwsgi protocol: one request a connection.
 type uwsgiFront struct {
 	core    *routing.Core
+	rules   *match.Rules
 	backend routing.Backend
 	now     atomic.Pointer[uwsgiSettings]
 	conns   registry[*uwsgiConn]
@@ -37,8 +39,8 @@
 	table *describe.Table
 }
 
-func newUWSGIFront(core *routing.Core, backend routing.Backend, config *UWSGIConfig) *uwsgiFront {
-	f := &uwsgiFront{core: core, backend: backend, conns: newRegistry[*uwsgiConn]()}
+func newUWSGIFront(core *routing.Core, backend routing.Backend, config *UWSGIConfig, rules *match.Rules) *uwsgiFront {
+	f := &uwsgiFront{core: core, rules: rules, backend: backend, conns: newRegistry[*uwsgiConn]()}
 	f.reload(config)
 	return f
 }
@@ -135,7 +137,7 @@
 		})
 		return
 	}
-	route, ok := now.table.Match(req.Get("REQUEST_METHOD"), path)
+	class, key, ok := f.classify(req, path)
 	if !ok {
 		u.respond(http.StatusNotFound)
 		return
@@ -146,7 +148,7 @@
 		payload.Fields = append(payload.Fields, routing.Field(v))
 		size += len(v.Name) + len(v.Value)
 	}
-	err := f.core.Submit(routing.Request{ID: id, Class: route.Class, Key: req.Get(route.KeyHeader),
+	err := f.core.Submit(routing.Request{ID: id, Class: class, Key: key,
 		Door: time.Now(), Caller: -1, HeldKB: uwsgiBaseKB + float64(size)/1024, Payload: payload,
 		Backend: f.backend, Sink: u})
 	if err != nil { // a keyed class without its key
@@ -154,6 +156,25 @@
 	}
 }
 
+// classify gives a request's class and key: by the operator's rules, if one
+// takes it, else by the routes.
+func (f *uwsgiFront) classify(req *uwsgi.Request, path string) (class, key string, ok bool) {
+	if set := f.rules.Load(); set != nil {
+		r := match.Request{Front: "uwsgi", Method: req.Get("REQUEST_METHOD"), Path: path,
+			Headers: make(map[string]string, len(req.Vars)), Body: req.Body}
+		for _, v := range req.Vars {
+			if name, ok := match.CGIHeader(v.Name); ok {
+				r.Headers[name] = v.Value
+			}
+		}
+		if res, ok := set.Classify(r); ok {
+			return res.Class, res.Key, true
+		}
+	}
+	route, ok := f.now.Load().table.Match(req.Get("REQUEST_METHOD"), path)
+	return route.Class, req.Get(route.KeyHeader), ok
+}
+
 // Answer implements routing.Sink.
 func (u *uwsgiConn) Answer(_ string, o routing.Outcome) {
 	switch o.Kind {
