--- a/program/config_test.go
+++ b/program/config_test.go
@@ -9,6 +9,7 @@
 
 	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/match"
 )
 
 // exampleConfig gives the text of the example's configuration.
@@ -104,8 +105,9 @@
 	}
 }
 
-// TestDeployDescriptions sees that the service's descriptions and the front's
-// file lead to the same classes, and say of these what the platform's settings do.
+// TestDeployDescriptions sees that the service's descriptions, the front's file
+// and the operator's rules lead to the same classes, and say of these what the
+// platform's settings do.
 func TestDeployDescriptions(t *testing.T) {
 	config, err := ParseConfig(exampleConfig(t))
 	if err != nil {
@@ -115,6 +117,10 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	rules, err := match.Load(filepath.Join("..", "deploy", "rules.toml"), config.Classes)
+	if err != nil {
+		t.Fatal(err)
+	}
 	for _, name := range []string{"openapi.json", "asyncapi.json"} {
 		text, err := os.ReadFile(filepath.Join("..", "deploy", name))
 		if err != nil {
@@ -129,6 +135,9 @@
 				t.Errorf("%s: %+v, but uwsgi.toml has %+v", name, r, got)
 			}
 		}
+		if disagree := rules.Against(doc); len(disagree) > 0 {
+			t.Errorf("%s and rules.toml: %q", name, disagree)
+		}
 		for _, c := range doc.Classes {
 			want := config.Settings.Classes[slices.Index(config.Classes, c.Name)]
 			want.Calls, want.SkipWorth = false, 0 // of no concern outside the platform
