Bound the library's handlers by pools, and stop telling the module goroutines as load

A run now gives back only a slot it holds (TestPools fails without). - A pool borrowed the idle slots of others while its own runs waited: pools share what lies below, and the borrower only crowded it more.

--- a/admission/config.go
+++ b/admission/config.go
@@ -52,12 +52,24 @@
 	MaxBody int64
 	// DrainGrace is how long after Drain arrivals may still run; 0 for 2 s.
 	DrainGrace time.Duration
+	// Pools, where not nil, bound the handlers of each class that run at once,
+	// with limits that follow their latencies (package limits): for handlers
+	// whose work is below them, where the process's own gauges can't tell that
+	// it is crowded. Nil leaves the bound to the module's run limit alone.
+	Pools *Pools
 	// Logger takes what the server has to say; nil for slog.Default().
 	Logger *slog.Logger
 	// Seed seeds the module's random choices; 0 for one from the clock.
 	Seed int64
 }
 
+// Pools are the pools' settings: the class whose cheap calls a reserve of
+// slots keeps alive under any load, and how many slots that is.
+type Pools struct {
+	Cheapest string
+	Reserve  int
+}
+
 // FromDocument gives the configuration of a description's classes and routes,
 // with all else at its default.
 func FromDocument(d *describe.Document) Config {
@@ -89,6 +101,10 @@
 		}
 	}
 	switch {
+	case c.Pools != nil && c.Pools.Cheapest != "" && !known[c.Pools.Cheapest]:
+		return c, fmt.Errorf("pools: cheapest class %q is not among the classes", c.Pools.Cheapest)
+	case c.Pools != nil && c.Pools.Reserve < 0:
+		return c, fmt.Errorf("pools: reserve %d: it may not be negative", c.Pools.Reserve)
 	case c.Cores < 0, c.Memory < 0, c.MaxBody < 0, c.DrainGrace < 0:
 		return c, fmt.Errorf("cores %d, memory %d, max body %d, drain grace %v: none may be negative",
 			c.Cores, c.Memory, c.MaxBody, c.DrainGrace)
--- a/admission/machine.go
+++ b/admission/machine.go
@@ -1,7 +1,6 @@
 package admission
 
 import (
-	"runtime/metrics"
 	"sync"
 	"syscall"
 	"time"
@@ -14,28 +13,26 @@
 // wait answers late.
 const trialWithin = 100 * time.Millisecond
 
-// process gives the module the gauges of the process it runs in, as the
-// processor gives them to the daemon (routing.Machine):
-//
-//   - CoreUse: the process's CPU time (getrusage(2), user and system) over the
-//     wall time since the last reading, for the configured cores;
-//   - OnCores: goroutines that run or wait for a core (runtime/metrics
-//     /sched/goroutines/running and /runnable), less the one that reads them.
-//
-// Memory and connections are not known to it (negative). Reading takes a few
-// microseconds, once a tick of the module.
+// process gives the module the gauge of the process it runs in that the
+// processor gives the daemon (routing.Machine): CoreUse, the process's CPU time
+// (getrusage(2), user and system) over the wall time since the last reading,
+// for the configured cores. What wants a core is not told (negative), so the
+// module counts its own runs: goroutines that run or wait for a core
+// (runtime/metrics) were tried, and count the service's callers and readers as
+// much as its runs; at twice the capacity the module took them for a storm of
+// reads and served a quarter of what it served without them (TestOverload).
+// Memory and connections are not known to it either. Reading takes a
+// microsecond, once a tick of the module.
 type process struct {
 	cores float64
 
-	mu      sync.Mutex // readings come from the core's timers
-	samples []metrics.Sample
-	cpu     time.Duration // at the last reading
-	at      time.Time
+	mu  sync.Mutex    // readings come from the core's timers
+	cpu time.Duration // at the last reading
+	at  time.Time
 }
 
 func newProcess(cores int) *process {
-	p := &process{cores: float64(cores), samples: []metrics.Sample{
-		{Name: "/sched/goroutines/running:goroutines"}, {Name: "/sched/goroutines/runnable:goroutines"}}}
+	p := &process{cores: float64(cores)}
 	p.cpu, p.at = cpuTime(), time.Now()
 	return p
 }
@@ -58,11 +55,6 @@
 		g.CoreUse = min(1, float64(cpu-p.cpu)/float64(wall)/p.cores)
 	}
 	p.cpu, p.at = cpu, now
-	metrics.Read(p.samples)
-	if p.samples[0].Value.Kind() == metrics.KindUint64 && p.samples[1].Value.Kind() == metrics.KindUint64 {
-		on := p.samples[0].Value.Uint64() + p.samples[1].Value.Uint64()
-		g.OnCores = float64(max(on, 1) - 1)
-	}
 	p.mu.Unlock()
 	reply(g)
 }
--- a/admission/server.go
+++ b/admission/server.go
@@ -59,8 +59,12 @@
 		return nil, fmt.Errorf("admission: %w", err)
 	}
 	settings, names := cfg.settings()
-	core, err := routing.New(routing.Options{Settings: settings, Classes: names, Seed: cfg.Seed,
-		Machine: newProcess(cfg.Cores), KeyBytes: int(cfg.Memory / keysShare)})
+	opt := routing.Options{Settings: settings, Classes: names, Seed: cfg.Seed, Machine: newProcess(cfg.Cores),
+		KeyBytes: int(cfg.Memory / keysShare)}
+	if cfg.Pools != nil {
+		opt.Pools = &routing.PoolOptions{Cheapest: cfg.Pools.Cheapest, Reserve: cfg.Pools.Reserve}
+	}
+	core, err := routing.New(opt)
 	if err != nil {
 		return nil, fmt.Errorf("admission: %w", err)
 	}
--- a/limits/limits.go
+++ b/limits/limits.go
@@ -7,8 +7,10 @@
 // The decision module (package policy) still decides what is let in and in
 // which order it runs; the pools bound what runs below it. A run that the
 // module begins takes a slot of its class's pool, or one that another pool
-// does not use, or waits in its pool's line; one that would wait longer than
-// its class's patience is turned away at once, as it never ran.
+// does not use (only while its own runs show no waiting: pools share what lies
+// below, and a pool whose runs wait would only crowd it more), or waits in its
+// pool's line; one that would wait longer than its patience is turned away at
+// once, as it never ran.
 //
 // Each pool's limit follows its runs' latencies as TCP Vegas follows a
 // connection's round trips (Brakmo and Peterson, "TCP Vegas: End to End
@@ -83,6 +85,7 @@
 	borrowed int // of those, slots that other pools do not use
 	least    float64
 	short    float64 // mean latency of late, in nanoseconds
+	queued   bool    // its latencies show runs that wait: it must not borrow
 	samples  int
 	line     []waiting // in the order in which the module began them
 }
@@ -166,7 +169,7 @@
 	t := Ticket{class: class}
 	switch {
 	case float64(own.inFlight) < math.Floor(own.limit):
-	case p.inHand() < p.room():
+	case !own.queued && p.inHand() < p.room():
 		t.borrowed = true
 		own.borrowed++
 	case p.cfg.Classes[class].Cheapest && p.spare < p.cfg.Reserve:
@@ -271,7 +274,7 @@
 			}
 			if best < 0 || q.line[0].since < p.pools[best].line[0].since {
 				own := float64(q.inFlight) < math.Floor(q.limit)
-				if own || p.inHand() < p.room() || p.cfg.Classes[c].Cheapest && p.spare < p.cfg.Reserve {
+				if own || !q.queued && p.inHand() < p.room() || p.cfg.Classes[c].Cheapest && p.spare < p.cfg.Reserve {
 					best = c
 				}
 			}
@@ -304,6 +307,7 @@
 	q.least = min(q.least*(1+creep), q.short)
 	queue := q.limit * (1 - q.least/q.short)
 	scale := max(1, math.Log10(q.limit))
+	q.queued = queue >= alpha*scale
 	switch {
 	case queue < alpha*scale && busy:
 		q.limit += min(mostStep, scale/q.limit)
--- a/routing/pools_test.go
+++ b/routing/pools_test.go
@@ -9,7 +9,8 @@
 // for each of three classes, three reads run (one their own, two borrowed from
 // the idle pools); a fourth waits in the line, and one whose caller leaves
 // while it waits never begins. Once a run has taken a second, a read that would
-// wait longer than half its aim is turned away at once, as it never ran.
+// wait longer than half its aim is turned away at once, as it never ran, and
+// holds no slot to give back.
 func TestPools(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPartyWith(t, func(o *Options) { o.Pools, o.Settings.Cores = &PoolOptions{Start: 1}, 8 })
@@ -31,6 +32,10 @@
 		if p.runs["f"] != 0 {
 			t.Error("the turned-away read ran")
 		}
+		p.submit(t, "g", "read", "") // it held no slot, so it gave none back
+		if p.runs["g"] != 0 {
+			t.Errorf("runs %v: a read that was turned away freed a slot", p.runs)
+		}
 		p.wantAnswer(t, "a", Served, "one")
 	})
 }
--- a/routing/send.go
+++ b/routing/send.go
@@ -35,7 +35,7 @@
 			c.followUps = append(c.followUps, func() { c.turnAway(a) })
 			return
 		}
-		a.ticket = ticket
+		a.ticket, a.slotted = ticket, true
 	}
 	c.begin(a)
 }
@@ -58,13 +58,16 @@
 }
 
 // released gives a pool's slot back, and begins what its end lets begin.
+// Only a run that holds a slot gives one back: one that waited, or was turned
+// away, holds none.
 func (c *Core) released(a *attempt, took time.Duration, good bool) {
-	if c.pools == nil || a.pooled {
+	if !a.slotted {
 		return
 	}
+	a.slotted = false
 	for _, next := range c.pools.Release(a.ticket, took, good) {
 		if w := c.attempts[next.ID]; w != nil && w.pooled {
-			w.pooled, w.ticket = false, next.Ticket
+			w.pooled, w.ticket, w.slotted = false, next.Ticket, true
 			c.begin(w)
 		}
 	}
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -29,6 +29,7 @@
 	calls    int    // made for it so far
 	entry    *entry // of a keyed request
 	pooled   bool   // begun by the module, it waits in its pool's line
+	slotted  bool   // it holds a slot of a pool, told by its ticket
 	ticket   limits.Ticket
 }
 
