Give the program sub-commands on kong: serve, check, describe, keys, version

Exit codes: 0, 1 where serving failed or problems were found, 2 for a command line that makes no sense.

Measured: TestCommands runs each sub-command on good and bad input (exit codes and lines); TestInspect reads a damaged store twice without changing a byte; the existing tests of serving pass with the new flags.

--- a/cmd/quincerail/main.go
+++ b/cmd/quincerail/main.go
@@ -1,86 +1,57 @@
-// Command quincerail is the app server. It is told what it needs by the file
-// that GW_CONFIG names; -uwsgi switches on the second front, and -rules the
-// operator's matching rules (package match) on every front, and -keys a folder
-// where the keys of gifts that ran outlive the process (package store).
+// Command quincerail is the app server and its operators' tools. Without a
+// sub-command it serves, as the platform starts it: it is told what it needs by
+// the file that GW_CONFIG names.
+//
+//	quincerail [serve] [--uwsgi FILE] [--rules FILE] [--keys DIR]
+//	quincerail check [--uwsgi FILE] [--rules FILE]
+//	quincerail describe FILE [--rules FILE]
+//	quincerail keys DIR
+//	quincerail version
+//
+// Exit codes: 0 for success; 1 where serving failed, or check and describe
+// found problems; 2 for a command line that makes no sense. docs/operating.md
+// has each command.
 package main
 
 import (
-	"context"
-	"flag"
+	"errors"
 	"fmt"
 	"log"
 	"os"
-	"os/signal"
-	"syscall"
 
-	"quincerail.example/quincerail/match"
-	"quincerail.example/quincerail/program"
+	"github.com/alecthomas/kong"
 )
 
-func main() {
-	log.SetFlags(log.Ltime | log.Lmicroseconds)
-	uwsgi := flag.String("uwsgi", "", "file that configures the uwsgi front (off without it)")
-	rules := flag.String("rules", "", "file of rules that give classes and keys (off without it)")
-	keys := flag.String("keys", "", "folder where the keys of what ran outlive the process (in memory without it)")
-	flag.Parse()
-	if err := run(files{*uwsgi, *rules, *keys}); err != nil {
-		fmt.Fprintln(os.Stderr, "quincerail:", err)
-		os.Exit(1)
-	}
+// cli is the command line.
+type cli struct {
+	Serve    serveCmd    `cmd:"" default:"withargs" help:"Serve, as the platform starts the program (the default)."`
+	Check    checkCmd    `cmd:"" help:"Check the configuration and the operator's files, and print every problem."`
+	Describe describeCmd `cmd:"" help:"Report what the operations of an OpenAPI or AsyncAPI description come to."`
+	Keys     keysCmd     `cmd:"" help:"Report what a folder of keys holds, changing nothing."`
+	Version  versionCmd  `cmd:"" help:"Print the program's version."`
 }
 
-// files are the operator's files beside the platform's configuration; empty
-// where there is none.
-type files struct{ uwsgi, rules, keys string }
+// errFound is wrapped by a command that ran and found problems: exit code 1.
+var errFound = errors.New("problems found")
 
-func run(f files) error {
-	hup := make(chan os.Signal, 1) // at once: a signal that nobody takes ends the program
-	signal.Notify(hup, syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
-	config, front, err := load(f)
-	if err != nil {
-		return err
-	}
-	program.Limit(config)
-	server, err := program.Start(config, front)
+func main() {
+	log.SetFlags(log.Ltime | log.Lmicroseconds)
+	var c cli
+	parser, err := kong.New(&c, kong.Name("quincerail"),
+		kong.Description("The app server of gava-norr, and its operators' tools. GW_CONFIG names the configuration."),
+		kong.UsageOnError())
 	if err != nil {
-		return err
+		panic(err) // the grammar above is wrong
 	}
-	go func() { // also while it drains
-		for range hup {
-			config, front, err := load(f)
-			if err == nil {
-				err = server.Reload(config, front)
-			}
-			if err != nil { // what works is kept
-				log.Printf("event=reload_failed error=%q", err)
-			}
-		}
-	}()
-	<-ctx.Done()
-	server.Drain()
-	return nil
-}
-
-// load reads the configuration, and the operator's files where there are any.
-func load(f files) (*program.Config, *program.UWSGIConfig, error) {
-	config, err := program.LoadConfig(os.Getenv("GW_CONFIG"))
+	ctx, err := parser.Parse(os.Args[1:])
 	if err != nil {
-		return nil, nil, err
+		fmt.Fprintln(os.Stderr, "quincerail:", err)
+		os.Exit(2)
 	}
-	config.KeysDir = f.keys
-	if f.rules != "" {
-		if config.Rules, err = match.Load(f.rules, config.Classes); err != nil {
-			return nil, nil, err
-		}
-		for _, w := range config.Rules.Warnings() {
-			log.Printf("event=rules_overlap warning=%q", w)
+	if err := ctx.Run(); err != nil {
+		if !errors.Is(err, errFound) {
+			fmt.Fprintln(os.Stderr, "quincerail:", err)
 		}
+		os.Exit(1)
 	}
-	if f.uwsgi == "" {
-		return config, nil, nil
-	}
-	front, err := program.LoadUWSGI(f.uwsgi, config.Classes)
-	return config, front, err
 }
--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"math/rand"
 	"net"
@@ -17,6 +18,8 @@
 	"time"
 
 	"quincerail.example/quincerail/internal/standin"
+	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/store"
 )
 
 var binary string
@@ -119,7 +122,7 @@
 	}
 	must(t, 0, os.WriteFile(front, []byte(text), 0o600))
 
-	n.args = append([]string{"-uwsgi", front}, args...)
+	n.args = append([]string{"--uwsgi", front}, args...)
 	n.socket, n.shared = socket, shared
 	t.Cleanup(func() {
 		n.processor.Close()
@@ -417,7 +420,7 @@
 	good := "[[rule]]\nname = 'gava'\nmatch = 'body.has_json(\"gava\")'\nclass = '\"ny-gava\"'\nkey = 'body.json(\"gava\")'\n"
 	bad := "[[rule]]\nname = 'trasig'\nmatch = 'size(path)'\nclass = '\"ny-gava\"'\n"
 	must(t, 0, os.WriteFile(path, []byte(good), 0o600))
-	n := startOn(t, nil, "", "-rules", path)
+	n := startOn(t, nil, "", "--rules", path)
 	twice := func(body string) int {
 		for range 2 {
 			if got := n.ask(t, standin.Thrift, n.thrift, "kampanjsida", "", body); got.Body != "done: "+body {
@@ -438,7 +441,7 @@
 		t.Errorf("after the refused file, a gift by the rules ran %d times", runs)
 	}
 
-	cmd := exec.Command(binary, "-rules", path)
+	cmd := exec.Command(binary, "--rules", path)
 	cmd.Env = append(os.Environ(), "GW_CONFIG="+writeConfig(t, nil))
 	out, err := cmd.CombinedOutput()
 	if err == nil || strings.Count(string(out), "\n") != 1 || !strings.Contains(string(out), "trasig.match: gives int") {
@@ -451,7 +454,7 @@
 // no gift runs twice over all the processes, and none is served a result it
 // did not have. Without the folder, 17 of 40 ran twice (seen once).
 func TestKilledWhileGiving(t *testing.T) {
-	n := startOn(t, nil, "", "-keys", t.TempDir())
+	n := startOn(t, nil, "", "--keys", t.TempDir())
 	n.work.Took = 30 * time.Millisecond
 	rng := rand.New(rand.NewSource(11))
 	const gifts = 40
@@ -494,3 +497,58 @@
 	}
 	t.Logf("%d gifts served over 8 processes", len(served))
 }
+
+// command runs the program with arguments and gives its output and exit code.
+func command(t *testing.T, config string, args ...string) (string, int) {
+	t.Helper()
+	cmd := exec.Command(binary, args...)
+	cmd.Env = append(os.Environ(), "GW_CONFIG="+config)
+	out, err := cmd.CombinedOutput()
+	code := 0
+	if exit := (*exec.ExitError)(nil); errors.As(err, &exit) {
+		code = exit.ExitCode()
+	} else if err != nil {
+		t.Fatal(err)
+	}
+	return string(out), code
+}
+
+// TestCommands has each sub-command meet what it is for, and what makes no sense.
+func TestCommands(t *testing.T) {
+	config, dir := writeConfig(t, nil), t.TempDir()
+	bad := filepath.Join(dir, "bad.toml")
+	must(t, 0, os.WriteFile(bad, []byte("[[rule]]\nname = 'a'\nmatch = 'size(path)'\nclass = '\"nygava\"'\n"), 0o600))
+	doc := filepath.Join(dir, "doc.json")
+	must(t, 0, os.WriteFile(doc, []byte(`{"openapi": "3.0.3", "info": {"title": "t", "version": "1"},
+  "x-quincerail-classes": {"ny-gava": {"aim_ms": 1000, "deadline_ms": 6900, "effect": "keyed", "window_ms": 20706}},
+  "paths": {"/gavor": {"post": {"x-quincerail-class": "ny-gava", "responses": {"200": {"description": "ok"}}}},
+            "/x": {"post": {"x-quincerail-class": "ny-gava", "responses": {"200": {"description": "ok"}}}}}}`), 0o600))
+	keys := filepath.Join(dir, "keys")
+	s, _, err := store.Open(store.Options{Dir: keys})
+	must(t, 0, err)
+	state, _ := json.Marshal(routing.KeyState{Key: "k1", Class: "ny-gava", Ran: "t1", Till: time.Now().Add(time.Hour)})
+	done := make(chan error, 1)
+	s.Put("key/k1", state, time.Now().Add(time.Hour), func(err error) { done <- err })
+	must(t, 0, <-done)
+	must(t, 0, s.Close())
+	for _, c := range []struct {
+		args []string
+		code int
+		want []string
+	}{
+		{[]string{"check", "--rules", filepath.Join("..", "..", "deploy", "rules.toml")}, 0, []string{"ok"}},
+		{[]string{"check", "--rules", bad}, 1, []string{"a.match: gives int, bool is needed", `a.class: class "nygava"`}},
+		{[]string{"describe", doc}, 1, []string{"/gavor", "class ny-gava: the description says aim 1s"}},
+		{[]string{"keys", keys, "--list"}, 0, []string{"k1\tny-gava\tin doubt", "1 keys: 0 done, 1 in doubt"}},
+		{[]string{"version"}, 0, []string{"quincerail", "go1."}},
+		{[]string{"serve", "--no-such-flag"}, 2, []string{"unknown flag"}},
+		{[]string{"keys"}, 2, []string{"expected \"<dir>\""}},
+	} {
+		out, code := command(t, config, c.args...)
+		for _, w := range c.want {
+			if code != c.code || !strings.Contains(out, w) {
+				t.Errorf("%v: exit %d, want %d with %q:\n%s", c.args, code, c.code, w, out)
+			}
+		}
+	}
+}
--- /dev/null
+++ b/cmd/quincerail/tools.go
@@ -0,0 +1,211 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"runtime/debug"
+	"slices"
+	"strings"
+	"time"
+
+	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/describe"
+	"quincerail.example/quincerail/match"
+	"quincerail.example/quincerail/program"
+	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/store"
+)
+
+// checkCmd checks what serve would load, and names every problem, one a line.
+type checkCmd struct {
+	files
+}
+
+// Run implements the sub-command.
+func (c *checkCmd) Run() error {
+	var problems []string
+	config, err := program.LoadConfig(os.Getenv("GW_CONFIG"))
+	if err != nil {
+		problems = append(problems, err.Error())
+	} else {
+		if c.UWSGI != "" {
+			if _, err := program.LoadUWSGI(c.UWSGI, config.Classes); err != nil {
+				problems = append(problems, err.Error())
+			}
+		}
+		if c.Rules != "" {
+			set, err := match.Load(c.Rules, config.Classes)
+			if le := (*match.LoadError)(nil); errors.As(err, &le) {
+				for _, p := range le.Problems {
+					problems = append(problems, fmt.Sprintf("%s: %s", c.Rules, p))
+				}
+			} else if err != nil {
+				problems = append(problems, err.Error())
+			} else {
+				for _, w := range set.Warnings() {
+					fmt.Printf("%s: warning: %s\n", c.Rules, w)
+				}
+			}
+		}
+	}
+	for _, p := range problems {
+		fmt.Println(p)
+	}
+	if len(problems) > 0 {
+		return fmt.Errorf("%w: %d", errFound, len(problems))
+	}
+	fmt.Println("ok")
+	return nil
+}
+
+// describeCmd reports what a description's operations come to: which class
+// each names, whether the settings know it and agree with it, and where the
+// operator's rules disagree.
+type describeCmd struct {
+	File  string `arg:"" help:"OpenAPI 3 or AsyncAPI 3 document, in JSON." type:"existingfile"`
+	Rules string `help:"File of rules to compare the description with." type:"path"`
+}
+
+// Run implements the sub-command.
+func (c *describeCmd) Run() error {
+	text, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	doc, err := describe.Load(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	var settings *program.Config
+	if path := os.Getenv("GW_CONFIG"); path != "" {
+		if settings, err = program.LoadConfig(path); err != nil {
+			return err
+		}
+	}
+	conflicts := 0
+	for _, r := range doc.Routes {
+		state := "classified"
+		if settings != nil && !slices.Contains(settings.Classes, r.Class) {
+			state, conflicts = "unknown to the settings", conflicts+1
+		}
+		fmt.Printf("%-6s %-32s %-14s key %-16s %s\n", r.Method, r.Path, r.Class, r.KeyHeader, state)
+	}
+	if settings != nil {
+		for _, class := range doc.Classes {
+			if i := slices.Index(settings.Classes, class.Name); i >= 0 && !agrees(class.Class, settings.Settings.Classes[i]) {
+				fmt.Printf("class %s: the description says %s, the settings %s\n", class.Name,
+					brief(class.Class), brief(settings.Settings.Classes[i]))
+				conflicts++
+			}
+		}
+	}
+	if c.Rules != "" {
+		var classes []string
+		if settings != nil {
+			classes = settings.Classes
+		}
+		set, err := match.Load(c.Rules, classes)
+		if err != nil {
+			return err
+		}
+		for _, d := range set.Against(doc) {
+			fmt.Println(d)
+			conflicts++
+		}
+	}
+	if conflicts > 0 {
+		return fmt.Errorf("%w: %d conflicts", errFound, conflicts)
+	}
+	return nil
+}
+
+// agrees tells whether a description says of a class what the settings do, in
+// what both know.
+func agrees(d, s decision.Class) bool {
+	return d.Aim == s.Aim && d.Deadline == s.Deadline && d.Effect == s.Effect && d.Worth == s.Worth &&
+		(d.Effect != decision.Keyed || d.Window == s.Window)
+}
+
+func brief(c decision.Class) string {
+	return fmt.Sprintf("aim %v, deadline %v, worth %v, effect %d, window %v", c.Aim, c.Deadline, c.Worth, c.Effect, c.Window)
+}
+
+// keysCmd reports what a folder of keys holds, as a new process would find it.
+type keysCmd struct {
+	Dir  string `arg:"" help:"The folder that serve --keys writes." type:"existingdir"`
+	List bool   `help:"Name each key and what became of it."`
+}
+
+// Run implements the sub-command.
+func (c *keysCmd) Run() error {
+	rec, err := store.Inspect(c.Dir, time.Now())
+	if err != nil {
+		return err
+	}
+	counts := map[string]int{}
+	var lines []string
+	for name, v := range rec.Values {
+		key, ok := strings.CutPrefix(name, "key/")
+		if !ok {
+			if name == "doubt" {
+				fmt.Printf("unknown keys in doubt until %s\n", v.Expires.Format(time.RFC3339))
+			}
+			continue
+		}
+		var k routing.KeyState
+		if err := json.Unmarshal(v.Bytes, &k); err != nil {
+			counts["unreadable"]++
+			continue
+		}
+		state := "in doubt"
+		switch {
+		case k.Ran == "":
+			state = "not run"
+		case k.Over && k.Result != nil:
+			state = "done"
+		case k.Over:
+			state = "failed"
+		}
+		counts[state]++
+		lines = append(lines, fmt.Sprintf("%s\t%s\t%s\tuntil %s", key, k.Class, state, k.Till.Format(time.RFC3339)))
+	}
+	slices.Sort(lines)
+	if c.List {
+		for _, l := range lines {
+			fmt.Println(l)
+		}
+	}
+	fmt.Printf("%d keys: %d done, %d in doubt, %d failed, %d not run, %d unreadable\n", len(lines)+counts["unreadable"],
+		counts["done"], counts["in doubt"], counts["failed"], counts["not run"], counts["unreadable"])
+	if rec.Truncated > 0 {
+		fmt.Printf("%d bytes of a write that never finished\n", rec.Truncated)
+	}
+	for _, l := range rec.Losses {
+		fmt.Printf("loss: %s\n", l)
+	}
+	if len(rec.Losses) > 0 {
+		return fmt.Errorf("%w: %d losses", errFound, len(rec.Losses))
+	}
+	return nil
+}
+
+// versionCmd prints what the program was built from.
+type versionCmd struct{}
+
+// Run implements the sub-command.
+func (versionCmd) Run() error {
+	info, ok := debug.ReadBuildInfo()
+	if !ok {
+		return errors.New("no build information")
+	}
+	revision := "unknown"
+	for _, s := range info.Settings {
+		if s.Key == "vcs.revision" {
+			revision = s.Value
+		}
+	}
+	fmt.Printf("quincerail %s, revision %s, %s\n", info.Main.Version, revision, info.GoVersion)
+	return nil
+}
--- a/program/config_test.go
+++ b/program/config_test.go
@@ -93,7 +93,7 @@
 		{`listen`, "liste = 1\nlisten", "liste"},
 		{`listen`, "describe = \"missing.json\"\nlisten", "describe"},
 		{`[[route]]`, "[[rutt]]", "rutt"},
-		{`backend = `, `backend `, "-uwsgi"},
+		{`backend = `, `backend `, "--uwsgi"},
 	} {
 		_, err := load(strings.Replace(good, x.old, x.new, 1))
 		if err == nil || !strings.Contains(err.Error(), x.key) || strings.Contains(err.Error(), "\n") {
--- a/program/uwsgiconfig.go
+++ b/program/uwsgiconfig.go
@@ -43,7 +43,7 @@
 	c := &UWSGIConfig{}
 	meta, err := toml.DecodeFile(path, c)
 	if err != nil {
-		return nil, fmt.Errorf("-uwsgi: %w", err)
+		return nil, fmt.Errorf("--uwsgi: %w", err)
 	}
 	if unknown := meta.Undecoded(); len(unknown) > 0 {
 		return nil, fmt.Errorf("%s: not known in %s", unknown[0], path)
--- a/store/store.go
+++ b/store/store.go
@@ -142,7 +142,7 @@
 		return nil, nil, fmt.Errorf("store: %w", err)
 	}
 	s := &Store{opt: opt, index: map[string]place{}, wake: make(chan struct{}, 1), done: make(chan struct{})}
-	rec, err := s.recover()
+	rec, err := s.recover(true)
 	if err != nil {
 		return nil, nil, err
 	}
@@ -155,8 +155,16 @@
 
 func segmentName(n int) string { return fmt.Sprintf("%08d.log", n) }
 
-// recover reads the segments, builds the index and gives the values.
-func (s *Store) recover() (*Recovered, error) {
+// Inspect reads a store's folder as Open would, and changes nothing in it: what
+// Open would cut off is counted, not cut. The folder may be in use.
+func Inspect(dir string, now time.Time) (*Recovered, error) {
+	s := &Store{opt: Options{Dir: dir, Now: func() time.Time { return now }}, index: map[string]place{}}
+	return s.recover(false)
+}
+
+// recover reads the segments, builds the index and gives the values. With
+// repair, it removes what a compaction left, and cuts off what can't be read.
+func (s *Store) recover(repair bool) (*Recovered, error) {
 	names, err := filepath.Glob(filepath.Join(s.opt.Dir, "*"))
 	if err != nil {
 		return nil, fmt.Errorf("store: %w", err)
@@ -165,8 +173,8 @@
 		base := filepath.Base(name)
 		var n int
 		if strings.HasSuffix(base, ".tmp") { // a compaction that did not finish
-			if err := os.Remove(name); err != nil {
-				return nil, fmt.Errorf("store: %w", err)
+			if err := s.repair(repair, func() error { return os.Remove(name) }); err != nil {
+				return nil, err
 			}
 		} else if _, err := fmt.Sscanf(base, "%08d.log", &n); err == nil && segmentName(n) == base {
 			s.segments = append(s.segments, n)
@@ -189,15 +197,15 @@
 			}
 			if what == cut && i == len(s.segments)-1 {
 				rec.Truncated = int64(len(b)) - offset
-				if err := os.Truncate(path, offset); err != nil {
-					return nil, fmt.Errorf("store: %w", err)
+				if err := s.repair(repair, func() error { return os.Truncate(path, offset) }); err != nil {
+					return nil, err
 				}
 				break
 			}
 			if what != whole { // reported once: the rest is cut off, so that what comes after is read
 				rec.Losses = append(rec.Losses, Loss{Segment: segmentName(n), Offset: offset, Bytes: int64(len(b)) - offset})
-				if err := os.Truncate(path, offset); err != nil {
-					return nil, fmt.Errorf("store: %w", err)
+				if err := s.repair(repair, func() error { return os.Truncate(path, offset) }); err != nil {
+					return nil, err
 				}
 				break
 			}
@@ -218,6 +226,17 @@
 	return rec, nil
 }
 
+// repair does what recovery must change on disk, where it may.
+func (s *Store) repair(may bool, change func() error) error {
+	if !may {
+		return nil
+	}
+	if err := change(); err != nil {
+		return fmt.Errorf("store: %w", err)
+	}
+	return nil
+}
+
 func allZero(b []byte) bool {
 	for _, c := range b {
 		if c != 0 {
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -311,3 +311,23 @@
 		t.Errorf("%d bytes live", s.Live())
 	}
 }
+
+// TestInspect reads a damaged store without changing it: twice the same.
+func TestInspect(t *testing.T) {
+	b, ends := written(t, someSteps)
+	b[ends[3]+2] ^= 1
+	dir := t.TempDir()
+	path := filepath.Join(dir, segmentName(1))
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	for range 2 {
+		rec, err := Inspect(dir, epoch)
+		if err != nil || len(rec.Losses) != 1 || !maps.Equal(values(rec), model(someSteps[:4], epoch)) {
+			t.Fatalf("%v, %v, %v", err, rec.Losses, values(rec))
+		}
+	}
+	if after, _ := os.ReadFile(path); !slices.Equal(after, b) {
+		t.Error("Inspect changed the file")
+	}
+}
