--- a/policy/api.go
+++ b/decision/decision.go
@@ -1,7 +1,9 @@
-// Package policy decides, inside one server, what it takes, runs and turns
-// away. This file holds the types that pass between a server and the module:
-// the settings, the events and the actions. All decisions are in policy.go.
-package policy
+// Package decision holds what passes between a server and its decision module
+// (package policy): the settings that an instance is told, the requests and
+// gauges that it takes in, and the actions that it gives (Host). It decides
+// nothing; all decisions are in package policy, after the design's paper
+// (PAPER-adaptive-timeout-strategies).
+package decision
 
 import "time"
 
--- a/describe/describe.go
+++ b/describe/describe.go
@@ -17,7 +17,7 @@
 
 	"github.com/tidwall/gjson"
 
-	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/decision"
 )
 
 // The names of the extensions.
@@ -33,7 +33,7 @@
 // Class is a named class of requests.
 type Class struct {
 	Name string
-	policy.Class
+	decision.Class
 }
 
 // Route leads requests to a class.
@@ -110,14 +110,14 @@
 		ms := func(key string) time.Duration {
 			return time.Duration(c.Get(key).Float() * float64(time.Millisecond))
 		}
-		class := Class{name.String(), policy.Class{Aim: ms("aim_ms"), Deadline: ms("deadline_ms"),
+		class := Class{name.String(), decision.Class{Aim: ms("aim_ms"), Deadline: ms("deadline_ms"),
 			Worth: c.Get("worth").Float(), LateWorth: c.Get("late_worth").Float(), Window: ms("window_ms")}}
 		switch effect := c.Get("effect").String(); effect {
 		case "", "safe":
 		case "keyed":
-			class.Effect = policy.Keyed
+			class.Effect = decision.Keyed
 		case "unsafe":
-			class.Effect = policy.Unsafe
+			class.Effect = decision.Unsafe
 		default:
 			err = fmt.Errorf("%s.%s.effect: %q", extClasses, name, effect)
 		}
@@ -129,7 +129,7 @@
 			err = fmt.Errorf("%s.%s.aim_ms: a time wanted", extClasses, name)
 		case class.Deadline < class.Aim:
 			err = fmt.Errorf("%s.%s.deadline_ms: at least aim_ms wanted", extClasses, name)
-		case class.Effect == policy.Keyed && class.Window <= 0:
+		case class.Effect == decision.Keyed && class.Window <= 0:
 			err = fmt.Errorf("%s.%s.window_ms: a time wanted", extClasses, name)
 		}
 		list = append(list, class)
--- a/internal/wire/reply.go
+++ b/internal/wire/reply.go
@@ -6,7 +6,7 @@
 	"time"
 )
 
-// Reply collects the actions of one instance as lines. It is a policy.Host.
+// Reply collects the actions of one instance as lines. It is a decision.Host.
 type Reply struct {
 	Instance int64
 	buf      []byte
@@ -61,13 +61,13 @@
 	r.end()
 }
 
-// Run implements policy.Host.
+// Run implements decision.Host.
 func (r *Reply) Run(id string) { r.plain("START", id) }
 
-// Halt implements policy.Host.
+// Halt implements decision.Host.
 func (r *Reply) Halt(id string) { r.plain("PREEMPT", id) }
 
-// Refuse implements policy.Host.
+// Refuse implements decision.Host.
 func (r *Reply) Refuse(id string, stayAway time.Duration, last bool) {
 	r.request("BOUNCE", id)
 	r.int("notBeforeForUs", stayAway.Microseconds())
@@ -75,33 +75,33 @@
 	r.end()
 }
 
-// Fail implements policy.Host.
+// Fail implements decision.Host.
 func (r *Reply) Fail(id string) { r.plain("SURRENDER", id) }
 
-// Call implements policy.Host.
+// Call implements decision.Host.
 func (r *Reply) Call(id string, timeout time.Duration) {
 	r.request("REACH_OUT", id)
 	r.int("timeoutUs", timeout.Microseconds())
 	r.end()
 }
 
-// Skip implements policy.Host.
+// Skip implements decision.Host.
 func (r *Reply) Skip(id string) { r.plain("BYPASS", id) }
 
-// Keep implements policy.Host.
+// Keep implements decision.Host.
 func (r *Reply) Keep(id string, ttl time.Duration) {
 	r.request("RECORD_KEY", id)
 	r.int("holdForUs", ttl.Microseconds())
 	r.end()
 }
 
-// Forget implements policy.Host.
+// Forget implements decision.Host.
 func (r *Reply) Forget(id string) { r.plain("FORGET", id) }
 
-// Reuse implements policy.Host.
+// Reuse implements decision.Host.
 func (r *Reply) Reuse(id string) { r.plain("JOIN", id) }
 
-// Health implements policy.Host.
+// Health implements decision.Host.
 func (r *Reply) Health(on, cached bool) {
 	r.begin("FITNESS")
 	r.bool("cached", cached)
@@ -109,7 +109,7 @@
 	r.end()
 }
 
-// Say implements policy.Host.
+// Say implements decision.Host.
 func (r *Reply) Say(value float64) {
 	r.begin("HINT_OUT")
 	r.key("amount")
@@ -117,14 +117,14 @@
 	r.end()
 }
 
-// CloseIdle implements policy.Host.
+// CloseIdle implements decision.Host.
 func (r *Reply) CloseIdle(after time.Duration) {
 	r.begin("IDLE")
 	r.int("holdForUs", after.Microseconds())
 	r.end()
 }
 
-// Wake implements policy.Host.
+// Wake implements decision.Host.
 func (r *Reply) Wake(after time.Duration, token int64) {
 	r.begin("NOTIFY_ME")
 	r.int("fromNowUs", after.Microseconds())
@@ -132,7 +132,7 @@
 	r.end()
 }
 
-// Log implements policy.Host.
+// Log implements decision.Host.
 func (r *Reply) Log(text string) { r.line("SAY_LOG", text) }
 
 // Bail reports that the decision code has failed.
--- a/middleware/middleware.go
+++ b/middleware/middleware.go
@@ -18,8 +18,8 @@
 	"runtime"
 	"time"
 
+	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/describe"
-	"quincerail.example/quincerail/policy"
 	"quincerail.example/quincerail/protocol/httpresult"
 	"quincerail.example/quincerail/routing"
 )
@@ -65,8 +65,8 @@
 	if opt.MaxBody == 0 {
 		opt.MaxBody = 64 << 10
 	}
-	settings := policy.Settings{Cores: opt.Cores, Servers: 1, Callers: 1, MemoryKB: float64(opt.MemoryMB) * 1024,
-		KeyKB: 1, RunFactor: 1, Stop: policy.StopDrop, MaxAdvice: maxAdvice, AnswerSlack: answerSlack,
+	settings := decision.Settings{Cores: opt.Cores, Servers: 1, Callers: 1, MemoryKB: float64(opt.MemoryMB) * 1024,
+		KeyKB: 1, RunFactor: 1, Stop: decision.StopDrop, MaxAdvice: maxAdvice, AnswerSlack: answerSlack,
 		DrainGrace: drainGrace, FallMultiple: fallMultiple, FallSpan: fallSpan, ColdFrom: 1, BatchGap: batchGap}
 	var names []string
 	for _, c := range opt.Document.Classes {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,19 +1,22 @@
-// The decision module. Its types (settings, events, actions) are in api.go.
+// Package policy decides, inside one server, what it takes, runs and turns away.
+// Its types (settings, events, actions) are in package decision.
 // Reading order: the constants; the instance and its events; Decide, which
 // names the steps of one batch in order; then each part: guards, intake
 // refusal, run limit, calls (Optimizer, Controller, retry budget, breaker,
 // call cap), and what callers are told. docs/design.md says what comes from
 // the paper and what was changed.
-
 package policy
 
 import (
 	"cmp"
+	"errors"
 	"fmt"
 	"math"
 	"math/rand"
 	"slices"
 	"time"
+
+	"quincerail.example/quincerail/decision"
 )
 
 // The figures of the mechanism: [page] the design's own, [ours] chosen here.
@@ -74,8 +77,8 @@
 )
 
 type request struct {
-	Request
-	class        *Class
+	decision.Request
+	class        *decision.Class
 	arrived, due time.Duration
 	worth        float64 // by which the hold is ordered
 	state        state
@@ -97,8 +100,8 @@
 
 // Instance decides for one server. It is not safe for concurrent use.
 type Instance struct {
-	set            Settings
-	host           Host
+	set            decision.Settings
+	host           decision.Host
 	rng            *rand.Rand
 	now, born, gap time.Duration // gap: between two looks at the clock
 	shortest       time.Duration // of the aims
@@ -136,8 +139,10 @@
 }
 
 // New makes an instance. The error names the setting that makes no sense.
-func New(s Settings, seed int64, host Host) (*Instance, error) {
-	if err := validate(s, host); err != nil {
+func New(s decision.Settings, seed int64, host decision.Host) (*Instance, error) {
+	if host == nil {
+		return nil, errors.New("host: none, one is needed")
+	} else if err := s.Validate(); err != nil {
 		return nil, err
 	}
 	in := &Instance{
@@ -155,7 +160,8 @@
 func (in *Instance) tune(newFrom int) {
 	s := &in.set
 	in.gap = max(s.BatchGap, min(tickMost, s.AnswerSlack/4))
-	in.shortest = slices.MinFunc(s.Classes, func(a, b Class) int { return cmp.Compare(a.Aim, b.Aim) }).Aim
+	in.shortest = slices.MinFunc(s.Classes,
+		func(a, b decision.Class) int { return cmp.Compare(a.Aim, b.Aim) }).Aim
 	for i := newFrom; i < len(s.Classes); i++ {
 		if s.Classes[i].Calls {
 			in.calls[i] = 1 // until seen
@@ -166,8 +172,8 @@
 
 // Retune takes over other settings. A class keeps its place, and new ones follow;
 // what is held or runs keeps what its class was. How cold it started stays.
-func (in *Instance) Retune(now time.Duration, s Settings) error {
-	if err := validate(s, in.host); err != nil {
+func (in *Instance) Retune(now time.Duration, s decision.Settings) error {
+	if err := s.Validate(); err != nil {
 		return err
 	}
 	old := len(in.set.Classes)
@@ -188,7 +194,7 @@
 }
 
 // Request takes in a request that was read. Decide settles what becomes of it.
-func (in *Instance) Request(now time.Duration, r Request) {
+func (in *Instance) Request(now time.Duration, r decision.Request) {
 	in.now = now
 	if r.Class < 0 || r.Class >= len(in.set.Classes) || in.requests[r.ID] != nil {
 		return
@@ -219,7 +225,7 @@
 }
 
 // Done takes in the end of a run or of a joined request.
-func (in *Instance) Done(now time.Duration, id string, outcome Outcome, _ time.Duration) {
+func (in *Instance) Done(now time.Duration, id string, outcome decision.Outcome, _ time.Duration) {
 	in.now = now
 	q := in.requests[id]
 	if q == nil || q.state == over {
@@ -228,19 +234,19 @@
 	if q.state == calling && in.set.Linger > 0 { // a call that ends with its request was given up
 		in.lingering = append(in.lingering, now+in.set.Linger)
 	}
-	if q.stopping && outcome == Cancelled && !q.answered {
+	if q.stopping && outcome == decision.Cancelled && !q.answered {
 		q.stopping = false
 		in.move(q, paused)
 		return
 	}
 	joined := q.state == joining
 	in.move(q, over)
-	if !joined && (outcome == OK || outcome == Errored) {
-		in.ownRun(outcome == Errored)
+	if !joined && (outcome == decision.OK || outcome == decision.Errored) {
+		in.ownRun(outcome == decision.Errored)
 		in.runTime += time.Duration(learn * float64(q.onCores-in.runTime))
 		in.calls[q.Class] += learn * (float64(q.calls) - in.calls[q.Class])
 	}
-	q.answered = q.answered || outcome != Cancelled
+	q.answered = q.answered || outcome != decision.Cancelled
 	in.fail(q) // stopped by nobody here, it still owes an answer
 }
 
@@ -254,14 +260,14 @@
 }
 
 // CallDone takes in how a call ended.
-func (in *Instance) CallDone(now time.Duration, id string, outcome Outcome, took time.Duration) {
+func (in *Instance) CallDone(now time.Duration, id string, outcome decision.Outcome, took time.Duration) {
 	in.now = now
 	q := in.requests[id]
 	if q == nil || q.state != calling {
 		return
 	}
 	in.learnCall(q, outcome, took)
-	if outcome == OK {
+	if outcome == decision.OK {
 		in.move(q, running)
 		return
 	}
@@ -269,8 +275,8 @@
 	if q.answered {
 		return
 	}
-	unseen := outcome == Full || outcome == ConnectFailed
-	if q.class.Effect == Safe && in.budget >= 1 || unseen && q.class.SkipWorth == 0 {
+	unseen := outcome == decision.Full || outcome == decision.ConnectFailed
+	if q.class.Effect == decision.Safe && in.budget >= 1 || unseen && q.class.SkipWorth == 0 {
 		in.budget = max(0, in.budget-1)
 		if unseen { // it came back at once: the same again at once would too
 			q.notYet = now + in.controller.timeout/4<<min(q.tries, 4)
@@ -302,7 +308,7 @@
 }
 
 // Tick takes in a timer with the gauges of the moment.
-func (in *Instance) Tick(now time.Duration, _ int64, g Gauges) {
+func (in *Instance) Tick(now time.Duration, _ int64, g decision.Gauges) {
 	in.now = now
 	in.host.Wake(in.gap, 0)
 	in.fade()
@@ -403,7 +409,7 @@
 // refuse turns away a request, with advice to stay away as far as reading is
 // the burden. last is the chance of the wish that it is not tried elsewhere.
 func (in *Instance) refuse(q *request, chance, last float64) {
-	if q.ran && q.class.Effect != Safe {
+	if q.ran && q.class.Effect != decision.Safe {
 		in.fail(q)
 		return
 	}
@@ -429,7 +435,7 @@
 	case fresh, held, paused, joining:
 		in.move(q, over)
 	case running:
-		if in.set.Stop != StopNever {
+		if in.set.Stop != decision.StopNever {
 			in.host.Halt(q.ID)
 		}
 	}
@@ -443,7 +449,7 @@
 	for _, q := range in.live {
 		due := q.due + in.set.AnswerSlack/2 // an early answer would cut runs short
 		if over := q.arrived + in.aim(q); q.class.LateWorth == 0 && over < q.due && q.state != joining &&
-			q.state != calling && (q.state != running || in.set.Stop != StopNever) {
+			q.state != calling && (q.state != running || in.set.Stop != decision.StopNever) {
 			due = over // the cores are for others
 		}
 		if in.draining {
@@ -455,7 +461,8 @@
 		if q.state == running { // it hangs, or the cores are far too slow
 			in.ownRun(true)
 		}
-		if q.state == fresh && q.Earlier == "" || q.state == held || q.ran && q.class.Effect == Safe {
+		if q.state == fresh && q.Earlier == "" || q.state == held ||
+			q.ran && q.class.Effect == decision.Safe {
 			in.refuse(q, 1, in.pressure)
 		} else {
 			in.fail(q)
@@ -534,7 +541,7 @@
 		prior := in.requests[q.Earlier]
 		if prior == nil || prior.ran || prior.state != over {
 			in.host.Reuse(q.ID)
-			q.ran = q.class.Effect != Safe // its effect may have been had
+			q.ran = q.class.Effect != decision.Safe // its effect may have been had
 			in.move(q, joining)
 			return
 		}
@@ -555,9 +562,9 @@
 	}
 	in.move(q, held)
 	ttl := q.class.Window - (in.now - q.arrived)
-	if q.class.Effect == Safe && in.set.Fresh > 0 && q.Key != "" && !q.Write {
+	if q.class.Effect == decision.Safe && in.set.Fresh > 0 && q.Key != "" && !q.Write {
 		ttl = q.class.Aim + in.set.Fresh
-	} else if q.class.Effect != Keyed {
+	} else if q.class.Effect != decision.Keyed {
 		return
 	}
 	if ttl > 0 {
@@ -586,7 +593,8 @@
 // dependency behind the work that calls before it: all in hand, and what is
 // held before it. Work that can't get its call costs cores and memory first.
 func (in *Instance) callWait(q *request) time.Duration {
-	if !q.class.Calls || in.set.Below != BelowShared || q.class.SkipWorth > 0 && q.state != standing {
+	if !q.class.Calls || in.set.Below != decision.BelowShared ||
+		q.class.SkipWorth > 0 && q.state != standing {
 		return 0
 	}
 	calls := in.callsToCome()
@@ -665,7 +673,7 @@
 
 // tuneRunLimit lets more run while cores idle and work waits, and falls back
 // toward the cores while they are busy.
-func (in *Instance) tuneRunLimit(g Gauges) {
+func (in *Instance) tuneRunLimit(g decision.Gauges) {
 	cores := float64(in.set.Cores)
 	on := g.OnCores
 	if on < 0 {
@@ -721,7 +729,7 @@
 			least = r
 		}
 	}
-	if in.set.Stop != StopPause || least == nil || least.worth > q.worth*wayWorth {
+	if in.set.Stop != decision.StopPause || least == nil || least.worth > q.worth*wayWorth {
 		return false
 	}
 	least.stopping = true
@@ -757,7 +765,7 @@
 	left := q.due - in.now - in.gap
 	timeout := left
 	q.probe, q.last = false, false
-	if q.class.Effect == Safe {
+	if q.class.Effect == decision.Safe {
 		if in.safeCalls++; in.safeCalls%solveEvery == 0 {
 			in.optimizer.solve()
 		}
@@ -777,7 +785,7 @@
 		}
 	}
 	if in.isBroken() && !q.probe {
-		if q.class.Effect != Safe && q.class.SkipWorth == 0 {
+		if q.class.Effect != decision.Safe && q.class.SkipWorth == 0 {
 			q.notYet = in.brokenTill // nobody can run it again: it waits
 			return
 		}
@@ -804,31 +812,31 @@
 
 // learnCall feeds what a call showed to the Optimizer, the Controller and
 // the breaker.
-func (in *Instance) learnCall(q *request, outcome Outcome, took time.Duration) {
+func (in *Instance) learnCall(q *request, outcome decision.Outcome, took time.Duration) {
 	spent := took
-	if outcome == TimedOut && in.set.Linger > 0 {
+	if outcome == decision.TimedOut && in.set.Linger > 0 {
 		in.lingering = append(in.lingering, in.now+in.set.Linger)
 		spent += in.set.Linger
 	}
 	in.callTime += time.Duration(learn * float64(spent-in.callTime))
-	if q.class.Effect == Safe {
-		if q.probe && (outcome == OK || outcome == TimedOut) {
-			in.controller.update(outcome == OK, took, q.class.Deadline)
-			if outcome == TimedOut { // longer than seen: as long as the Controller now allows for
+	if q.class.Effect == decision.Safe {
+		if q.probe && (outcome == decision.OK || outcome == decision.TimedOut) {
+			in.controller.update(outcome == decision.OK, took, q.class.Deadline)
+			if outcome == decision.TimedOut { // longer than seen: as long as the Controller now allows for
 				took = in.controller.timeout
 			}
 			in.optimizer.add(took)
 		}
 	}
-	if outcome == TimedOut && !q.last && !q.probe {
+	if outcome == decision.TimedOut && !q.last && !q.probe {
 		return // a lower step's time-out says little
 	}
 	in.failing -= learn * in.failing
-	if outcome != OK {
+	if outcome != decision.OK {
 		in.failing += learn
 	}
 	switch {
-	case outcome == OK:
+	case outcome == decision.OK:
 		in.brokenTill = in.now
 	case in.failing > breakAt:
 		in.brokenTill = in.now + breakFor
@@ -864,7 +872,7 @@
 // mayCall says whether the call cap has room for one more.
 func (in *Instance) mayCall() bool {
 	out := float64(in.callsOut())
-	if in.set.Below != BelowShared {
+	if in.set.Below != decision.BelowShared {
 		return out < in.runLimit
 	}
 	return out < max(1, in.callsAtOnce()) && in.credit >= 0
@@ -882,7 +890,7 @@
 // when the calls of all instances hang at once: what they may overdraw then,
 // with what they have saved, stays under the told share in the told span.
 func (in *Instance) longestCall() time.Duration {
-	if in.set.Below != BelowShared {
+	if in.set.Below != decision.BelowShared {
 		return math.MaxInt64
 	}
 	spare := (callShare-callGoal)*in.set.CallsOut*float64(in.set.CallsOver) - in.callPace()*float64(callSaved)
@@ -1023,12 +1031,12 @@
 	value, full := in.said, 1.0
 	in.heard = slices.DeleteFunc(in.heard, func(c caller) bool { return c.at < in.now-in.set.Heeded })
 	switch in.set.Say {
-	case SayRank:
+	case decision.SayRank:
 		value = in.pressure
-	case SayCredit: // heeded by those that heard it of late, each to its own even part
+	case decision.SayCredit: // heeded by those that heard it of late, each to its own even part
 		full = in.crowdLimit() / float64(max(1, len(in.heard)))
 		value = full * (1 - in.pressure*(1-leastShare))
-	case SayWeight:
+	case decision.SayWeight:
 		value = 1 - in.pressure*(1-leastShare)
 	}
 	if math.Abs(value-in.said) >= sayStep*full {
--- a/program/config.go
+++ b/program/config.go
@@ -12,8 +12,8 @@
 
 	"github.com/tidwall/gjson"
 
+	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/internal/wire"
-	"quincerail.example/quincerail/policy"
 )
 
 // Config is what the app server is told.
@@ -28,7 +28,7 @@
 	MemoryMB                    int
 	Sockets                     int
 	Classes                     []string
-	Settings                    policy.Settings
+	Settings                    decision.Settings
 	Gauges                      []string // names, in the order in which the processor gives them
 	text                        string
 }
--- a/program/ledger.go
+++ b/program/ledger.go
@@ -7,7 +7,7 @@
 	"sync"
 	"time"
 
-	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/protocol/ledger"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/transport"
@@ -144,7 +144,7 @@
 func (l *ledgerPool) open(k *ledgerConn) {
 	nc, err := l.dial()
 	if err != nil {
-		l.end(k, policy.ConnectFailed)
+		l.end(k, decision.ConnectFailed)
 		return
 	}
 	l.mu.Lock()
@@ -162,7 +162,7 @@
 		l.take(k, reply)
 		return nil
 	})
-	l.end(k, policy.Reset)
+	l.end(k, decision.Reset)
 }
 
 // dial opens a connection to the ledger, wherever it moves meanwhile.
@@ -196,8 +196,8 @@
 	if call == nil { // to a call that was given up, a second copy, or to nobody's
 		return
 	}
-	end := map[ledger.Status]routing.CallEnd{ledger.Posted: policy.OK, ledger.QueueFull: policy.Full,
-		ledger.Errored: policy.Errored, ledger.Expired: policy.TimedOut, ledger.Moot: policy.Moot}[reply.Status]
+	end := map[ledger.Status]routing.CallEnd{ledger.Posted: decision.OK, ledger.QueueFull: decision.Full,
+		ledger.Errored: decision.Errored, ledger.Expired: decision.TimedOut, ledger.Moot: decision.Moot}[reply.Status]
 	l.core.Called(reply.ID, call.number, end, reply.Body)
 }
 
--- a/program/processor.go
+++ b/program/processor.go
@@ -10,7 +10,7 @@
 	"sync"
 	"time"
 
-	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/protocol/lines"
 	"quincerail.example/quincerail/protocol/processor"
 	"quincerail.example/quincerail/routing"
@@ -52,14 +52,14 @@
 	last     uint64          // number of the last notice read
 	asked    uint64          // number of the last question
 	pending  []command
-	usages   map[uint64]func(policy.Gauges)
+	usages   map[uint64]func(decision.Gauges)
 	trials   map[string]func(bool)
 	marker   uint64 // the question whose answer shows that all missed notices are in; 0 for none
 	greeting *transport.Conn
 }
 
 func newProcessorLink(address string, gauges []string) *processorLink {
-	p := &processorLink{gauges: gauges, usages: make(map[uint64]func(policy.Gauges)), trials: make(map[string]func(bool))}
+	p := &processorLink{gauges: gauges, usages: make(map[uint64]func(decision.Gauges)), trials: make(map[string]func(bool))}
 	p.link = transport.NewLink(address, p.opened, p.closed)
 	return p
 }
@@ -198,8 +198,8 @@
 	}
 }
 
-func (p *processorLink) reading(values []float64) policy.Gauges {
-	g := policy.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}
+func (p *processorLink) reading(values []float64) decision.Gauges {
+	g := decision.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}
 	for i, name := range p.gauges {
 		if i >= len(values) {
 			break
@@ -250,7 +250,7 @@
 }
 
 // Usage implements routing.Machine. Without a link there is no reply.
-func (p *processorLink) Usage(reply func(policy.Gauges)) {
+func (p *processorLink) Usage(reply func(decision.Gauges)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn == nil {
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -5,7 +5,7 @@
 	"encoding/binary"
 	"time"
 
-	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/decision"
 )
 
 // Admit: the module hears of a request, and says if it is turned away.
@@ -21,9 +21,9 @@
 		}
 		earlier = c.keys.enter(a)
 	}
-	c.module.Request(c.now, policy.Request{
+	c.module.Request(c.now, decision.Request{
 		ID: a.ID, Class: a.class, Key: a.Item, HeldKB: a.HeldKB, Rank: a.Rank, From: a.Caller,
-		Write: a.kind.Effect != policy.Safe, Waited: c.now - a.door, Earlier: earlier,
+		Write: a.kind.Effect != decision.Safe, Waited: c.now - a.door, Earlier: earlier,
 	})
 }
 
--- a/routing/core.go
+++ b/routing/core.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/policy"
 )
 
@@ -23,7 +24,7 @@
 
 // Options are what a core is made of. Settings and Classes are required.
 type Options struct {
-	Settings    policy.Settings
+	Settings    decision.Settings
 	Classes     []string // names, in the order of the settings
 	Seed        int64
 	Backend     Backend     // for requests that name none
@@ -44,13 +45,13 @@
 	done   chan struct{}
 
 	// All below belongs to Run's goroutine.
-	set       policy.Settings // in force
+	set       decision.Settings // in force
 	module    *policy.Instance
 	now       time.Duration // Unix time of the batch
 	attempts  map[string]*attempt
 	keys      *keyTable
 	followUps []func() // events that the module's own actions bring
-	gauges    policy.Gauges
+	gauges    decision.Gauges
 	fit       bool          // health as the module sets it
 	stored    bool          // checks are answered from it alone
 	away      bool          // operators have its callers sent away
@@ -66,7 +67,7 @@
 func New(opt Options) (*Core, error) {
 	c := &Core{opt: opt, first: make(map[string]bool), events: make(chan func(), mailbox),
 		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true,
-		gauges: policy.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}}
+		gauges: decision.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}}
 	if err := c.retune(opt.Settings, opt.Classes); err != nil {
 		return nil, err
 	}
@@ -181,7 +182,7 @@
 				}
 			}
 			late := time.AfterFunc(gaugesWithin, func() { c.post(tick) })
-			c.opt.Machine.Usage(func(g policy.Gauges) {
+			c.opt.Machine.Usage(func(g decision.Gauges) {
 				late.Stop()
 				c.post(func() { c.gauges = g; tick() })
 			})
--- a/routing/relay.go
+++ b/routing/relay.go
@@ -3,7 +3,7 @@
 import (
 	"time"
 
-	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/decision"
 )
 
 // Relay: what backend and dependency report goes on to the module and back.
@@ -19,7 +19,7 @@
 		return
 	}
 	c.endCall(a)
-	outcome := [...]policy.Outcome{Good: policy.OK, Bad: policy.Errored, Cut: policy.Cancelled, Unborn: policy.Moot}[end]
+	outcome := [...]decision.Outcome{Good: decision.OK, Bad: decision.Errored, Cut: decision.Cancelled, Unborn: decision.Moot}[end]
 	c.bookRun(a, end, result)
 	switch end {
 	case Good:
@@ -65,7 +65,7 @@
 	if k.timer != nil {
 		k.timer.Stop()
 	}
-	if end == policy.OK {
+	if end == decision.OK {
 		a.call = nil
 		a.backend.Answer(a.ID, reply)
 	}
@@ -77,9 +77,9 @@
 	if a.answered {
 		return
 	}
-	outcome := policy.Errored
+	outcome := decision.Errored
 	if e != nil && e.result != nil && e.body == a.body {
-		outcome = policy.OK
+		outcome = decision.OK
 		c.book(a, Outcome{Kind: Served, Result: *e.result})
 	} else {
 		c.book(a, c.failure(a))
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -9,7 +9,7 @@
 import (
 	"time"
 
-	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/decision"
 )
 
 // Field is a named part of a payload.
@@ -100,12 +100,12 @@
 // Machine is what a backend may tell of the machine that it runs on. Its
 // methods must not block.
 type Machine interface {
-	Usage(reply func(policy.Gauges))
+	Usage(reply func(decision.Gauges))
 	Trial(reply func(good bool))
 }
 
 // CallEnd says how a call ended.
-type CallEnd = policy.Outcome
+type CallEnd = decision.Outcome
 
 // Dependency makes calls for runs. Its methods must not block; how a call
 // ended is told by the core's Called, with the number that tells a run's calls
--- a/routing/send.go
+++ b/routing/send.go
@@ -4,7 +4,7 @@
 	"log"
 	"time"
 
-	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/decision"
 )
 
 // call is the call that a run stands at.
@@ -37,7 +37,7 @@
 	a.calls++
 	number := a.calls
 	if h.opt.Dependency == nil {
-		h.followUps = append(h.followUps, func() { h.called(a, number, policy.ConnectFailed, nil) })
+		h.followUps = append(h.followUps, func() { h.called(a, number, decision.ConnectFailed, nil) })
 		return
 	}
 	k.timer = time.AfterFunc(timeout, func() {
@@ -46,7 +46,7 @@
 				k.givenUp = true
 				h.opt.Dependency.Abandon(id)
 				k.timer = time.AfterFunc(h.settling(), func() {
-					h.post(func() { h.called(a, number, policy.TimedOut, nil) })
+					h.post(func() { h.called(a, number, decision.TimedOut, nil) })
 				})
 			}
 		})
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -6,7 +6,7 @@
 	"fmt"
 	"time"
 
-	"quincerail.example/quincerail/policy"
+	"quincerail.example/quincerail/decision"
 )
 
 // maxKey bounds a key: the table counts on it, and peers are told of it.
@@ -16,7 +16,7 @@
 type attempt struct {
 	Request
 	class    int
-	kind     policy.Class // as it was when the request came
+	kind     decision.Class // as it was when the request came
 	door     time.Duration
 	due      time.Duration
 	backend  Backend
@@ -46,7 +46,7 @@
 	if !ok {
 		return fmt.Errorf("class %q is not known", r.Class)
 	}
-	if keyed := tuned.classes[class].Effect == policy.Keyed; keyed && r.Key == "" {
+	if keyed := tuned.classes[class].Effect == decision.Keyed; keyed && r.Key == "" {
 		return fmt.Errorf("class %q needs a key", r.Class)
 	} else if !keyed {
 		r.Key = ""
--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 
+	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/policy"
 )
 
@@ -11,7 +12,7 @@
 type tuning struct {
 	names   []string       // by place; also of classes that were dropped
 	taken   map[string]int // place of each class that requests may have
-	classes []policy.Class
+	classes []decision.Class
 }
 
 // kin tells whether tries of one request may come in both classes. A class that
@@ -22,7 +23,7 @@
 // Retune takes over other settings, with the names of their classes: from then on
 // classes that are new are taken, and those that are gone are not. An error names
 // what makes no sense, and nothing has changed then.
-func (c *Core) Retune(s policy.Settings, names []string) error {
+func (c *Core) Retune(s decision.Settings, names []string) error {
 	result := make(chan error, 1)
 	if err := c.post(func() { result <- c.retune(s, names) }); err != nil {
 		return err
@@ -35,7 +36,7 @@
 	}
 }
 
-func (c *Core) retune(s policy.Settings, names []string) error {
+func (c *Core) retune(s decision.Settings, names []string) error {
 	if len(names) == 0 || len(names) != len(s.Classes) {
 		return fmt.Errorf("classes: %d names for %d", len(names), len(s.Classes))
 	}
