Check the operator's file with a CUE schema; log with slog; offer Prometheus metrics

--operator FILE (TOML or CUE) is validated by program/operator.cue: defaults, ranges, unknown fields, and two combinations that are valid alone and refused together, each named by its path. Two listeners on one address are refused by serve and check alike. Logs go through log/slog (key=value by default, JSON on request, a bound on repeated lines); SIGHUP changes the level. Metrics are client_golang's, on a listener of the operator's own; off in the platform's run.

One loopback test scrapes the metrics, one has each sub-command meet its errors.

--- a/cmd/quincerail/main.go
+++ b/cmd/quincerail/main.go
@@ -2,8 +2,8 @@
 // sub-command it serves, as the platform starts it: it is told what it needs by
 // the file that GW_CONFIG names.
 //
-//	quincerail [serve] [--uwsgi FILE] [--rules FILE] [--keys DIR]
-//	quincerail check [--uwsgi FILE] [--rules FILE]
+//	quincerail [serve] [--operator FILE] [--uwsgi FILE] [--rules FILE] [--keys DIR]
+//	quincerail check [--operator FILE] [--uwsgi FILE] [--rules FILE]
 //	quincerail describe FILE [--rules FILE]
 //	quincerail keys DIR
 //	quincerail version
@@ -16,7 +16,6 @@
 import (
 	"errors"
 	"fmt"
-	"log"
 	"os"
 
 	"github.com/alecthomas/kong"
@@ -35,7 +34,6 @@
 var errFound = errors.New("problems found")
 
 func main() {
-	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	var c cli
 	parser, err := kong.New(&c, kong.Name("quincerail"),
 		kong.Description("The app server of gava-norr, and its operators' tools. GW_CONFIG names the configuration."),
--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -5,8 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math/rand"
 	"net"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -55,6 +57,7 @@
 	control   string
 	exited    chan error
 	reloads   chan string // log lines of SIGHUP's outcome
+	metrics   chan string // address of the operator's metrics
 	args      []string
 	socket    *os.File // inherited, or nil
 	shared    string
@@ -88,6 +91,43 @@
 	return path
 }
 
+var scraped = regexp.MustCompile(`event=metrics address=(\S+)`)
+
+// TestOperatorFile starts the program with an operator's file: its metrics are
+// scraped and count what was answered, and SIGHUP changes the log's level.
+func TestOperatorFile(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "operator.toml")
+	text := "[metrics]\nlisten = '127.0.0.1:0'\n[log]\nlevel = '%s'\n"
+	must(t, 0, os.WriteFile(path, fmt.Appendf(nil, text, "info"), 0o600))
+	n := startOn(t, nil, "", "--operator", path)
+	for range 2 {
+		if got := n.ask(t, standin.Thrift, n.thrift, "ny-gava", "k", "gift"); got.Kind != "served" {
+			t.Fatal(got)
+		}
+	}
+	resp, err := http.Get("http://" + <-n.metrics + "/metrics")
+	must(t, 0, err)
+	defer resp.Body.Close()
+	page, err := io.ReadAll(resp.Body)
+	must(t, 0, err)
+	for _, want := range []string{`quincerail_answers_total{class="ny-gava",kind="served"} 2`, `quincerail_repeats_total{class="ny-gava"} 1`,
+		`quincerail_answer_seconds_count{class="ny-gava",kind="served"} 2`, "quincerail_open_requests 0"} {
+		if !strings.Contains(string(page), want) {
+			t.Errorf("no %s in\n%s", want, page)
+		}
+	}
+	must(t, 0, os.WriteFile(path, fmt.Appendf(nil, text, "loud"), 0o600))
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGHUP))
+	if line := <-n.reloads; !strings.Contains(line, "reload_failed") || !strings.Contains(line, "log.level") {
+		t.Errorf("after a level that is none: %s", line)
+	}
+	must(t, 0, os.WriteFile(path, fmt.Appendf(nil, text, "warn"), 0o600))
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGHUP))
+	if line := <-n.reloads; !strings.Contains(line, "event=reloaded") {
+		t.Errorf("to warn: %s", line)
+	}
+}
+
 var listening = regexp.MustCompile(`event=(listening name=\S+|control) address=(\S+)`)
 
 func start(t *testing.T) *node {
@@ -99,7 +139,7 @@
 // socket and shares a folder with others.
 func startOn(t *testing.T, socket *os.File, shared string, args ...string) *node {
 	t.Helper()
-	n := &node{work: standin.NewWork(0), exited: make(chan error, 1), reloads: make(chan string, 16)}
+	n := &node{work: standin.NewWork(0), exited: make(chan error, 1), reloads: make(chan string, 16), metrics: make(chan string, 1)}
 	var err error
 	n.processor, err = standin.NewProcessor(anyPort, n.work)
 	must(t, 0, err)
@@ -154,6 +194,8 @@
 		for lines := bufio.NewScanner(stderr); lines.Scan(); {
 			if m := listening.FindStringSubmatch(lines.Text()); m != nil {
 				addresses <- m[2]
+			} else if m := scraped.FindStringSubmatch(lines.Text()); m != nil {
+				n.metrics <- m[1]
 			} else if strings.Contains(lines.Text(), "event=reload") {
 				select {
 				case n.reloads <- lines.Text():
@@ -531,6 +573,10 @@
 	s.Put("key/k1", state, time.Now().Add(time.Hour), func(err error) { done <- err })
 	must(t, 0, <-done)
 	must(t, 0, s.Close())
+	must(t, 0, os.WriteFile(filepath.Join(dir, "op.toml"), []byte("[log]\nlevle = 'info'\n[keys]\nsync = 'never'\n"), 0o600))
+	uwsgi := filepath.Join("..", "..", "deploy", "uwsgi.toml")
+	must(t, 0, os.WriteFile(filepath.Join(dir, "same.toml"),
+		fmt.Appendf(nil, "uwsgi = %q\n[metrics]\nlisten = '127.0.0.1:3031'\n", uwsgi), 0o600))
 	for _, c := range []struct {
 		args []string
 		code int
@@ -538,6 +584,9 @@
 	}{
 		{[]string{"check", "--rules", filepath.Join("..", "..", "deploy", "rules.toml")}, 0, []string{"ok"}},
 		{[]string{"check", "--rules", bad}, 1, []string{"a.match: gives int, bool is needed", `a.class: class "nygava"`}},
+		{[]string{"check", "--operator", filepath.Join(dir, "op.toml")}, 1, []string{"log.levle: field not allowed", "keys.sync: sync says"}},
+		{[]string{"--operator", filepath.Join(dir, "op.toml")}, 1, []string{"log.levle: field not allowed"}},
+		{[]string{"check", "--operator", filepath.Join(dir, "same.toml")}, 1, []string{"metrics.listen: 127.0.0.1:3031 is the uwsgi front's"}},
 		{[]string{"describe", doc}, 1, []string{"/gavor", "class ny-gava: the description says aim 1s"}},
 		{[]string{"keys", keys, "--list"}, 0, []string{"k1\tny-gava\tin doubt", "1 keys: 0 done, 1 in doubt"}},
 		{[]string{"version"}, 0, []string{"quincerail", "go1."}},
--- a/cmd/quincerail/serve.go
+++ b/cmd/quincerail/serve.go
@@ -1,22 +1,38 @@
 package main
 
 import (
+	"cmp"
 	"context"
-	"log"
+	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 
+	"quincerail.example/quincerail/logging"
 	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/program"
 )
 
 // files are the operator's files beside the platform's configuration; empty
-// where there is none. serve and check take them alike.
+// where there is none. serve and check take them alike. A flag goes before
+// what the operator's file says.
 type files struct {
-	UWSGI string `name:"uwsgi" help:"File that configures the uwsgi front (off without it)." type:"path"`
-	Rules string `help:"File of rules that give classes and keys on every front (off without it)." type:"path"`
-	Keys  string `help:"Folder where the keys of what ran outlive the process (in memory without it)." type:"path"`
+	Operator string `help:"The operator's file, TOML or CUE (see deploy/quincerail.toml)." type:"path"`
+	UWSGI    string `name:"uwsgi" help:"File that configures the uwsgi front (off without it)." type:"path"`
+	Rules    string `help:"File of rules that give classes and keys on every front (off without it)." type:"path"`
+	Keys     string `help:"Folder where the keys of what ran outlive the process (in memory without it)." type:"path"`
+}
+
+// operator gives the operator's file with the flags over it.
+func (f files) operator() (*program.Operator, error) {
+	o, err := program.LoadOperator(f.Operator)
+	if err != nil {
+		return nil, err
+	}
+	o.UWSGI, o.Rules, o.Keys.Dir = cmp.Or(f.UWSGI, o.UWSGI), cmp.Or(f.Rules, o.Rules), cmp.Or(f.Keys, o.Keys.Dir)
+	return o, nil
 }
 
 // serveCmd serves: the platform's way, and what the program does without a
@@ -33,7 +49,16 @@
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	config, front, err := load(f)
+	o, err := f.operator()
+	if err != nil {
+		return err
+	}
+	level := new(slog.LevelVar)
+	if err := setLevel(level, o); err != nil {
+		return err
+	}
+	logger := logging.New(os.Stderr, logging.Format(o.Log.Format), level, o.Log.Repeats)
+	config, front, err := load(o, logger)
 	if err != nil {
 		return err
 	}
@@ -44,12 +69,8 @@
 	}
 	go func() { // also while it drains
 		for range hup {
-			config, front, err := load(f)
-			if err == nil {
-				err = server.Reload(config, front)
-			}
-			if err != nil { // what works is kept
-				log.Printf("event=reload_failed error=%q", err)
+			if err := reload(f, server, level, logger); err != nil { // what works is kept
+				logger.Warn("reload_failed", "error", err.Error())
 			}
 		}
 	}()
@@ -58,24 +79,61 @@
 	return nil
 }
 
+// reload takes over the files anew at SIGHUP: the level of the log at once;
+// what else of the operator's file changed needs a restart.
+func reload(f files, server *program.Server, level *slog.LevelVar, logger *slog.Logger) error {
+	o, err := f.operator()
+	if err != nil {
+		return err
+	}
+	config, front, err := load(o, logger)
+	if err != nil {
+		return err
+	}
+	if err := server.Reload(config, front); err != nil {
+		return err
+	}
+	return setLevel(level, o)
+}
+
+func setLevel(level *slog.LevelVar, o *program.Operator) error {
+	l, err := logging.ParseLevel(o.Log.Level)
+	if err == nil {
+		level.Set(l)
+	}
+	return err
+}
+
 // load reads the configuration, and the operator's files where there are any.
-func load(f files) (*program.Config, *program.UWSGIConfig, error) {
+func load(o *program.Operator, logger *slog.Logger) (*program.Config, *program.UWSGIConfig, error) {
 	config, err := program.LoadConfig(os.Getenv("GW_CONFIG"))
 	if err != nil {
 		return nil, nil, err
 	}
-	config.KeysDir = f.Keys
-	if f.Rules != "" {
-		if config.Rules, err = match.Load(f.Rules, config.Classes); err != nil {
+	config.KeysDir, config.KeysSync, config.MetricsListen, config.Logger =
+		o.Keys.Dir, o.Keys.Sync, o.Metrics.Listen, logger
+	if o.Rules != "" {
+		if config.Rules, err = match.Load(o.Rules, config.Classes); err != nil {
 			return nil, nil, err
 		}
 		for _, w := range config.Rules.Warnings() {
-			log.Printf("event=rules_overlap warning=%q", w)
+			logger.Warn("rules_overlap", "warning", w)
 		}
 	}
-	if f.UWSGI == "" {
+	if o.UWSGI == "" {
 		return config, nil, nil
 	}
-	front, err := program.LoadUWSGI(f.UWSGI, config.Classes)
+	front, err := program.LoadUWSGI(o.UWSGI, config.Classes)
+	if err == nil {
+		err = apart(o, front)
+	}
 	return config, front, err
 }
+
+// apart refuses two listeners on one address, each of which is right alone.
+func apart(o *program.Operator, front *program.UWSGIConfig) error {
+	if front.Listen == o.Metrics.Listen && !strings.HasSuffix(front.Listen, ":0") {
+		return fmt.Errorf("metrics.listen: %s is the uwsgi front's address too", front.Listen)
+	}
+	return nil
+}
--- a/cmd/quincerail/tools.go
+++ b/cmd/quincerail/tools.go
@@ -26,29 +26,20 @@
 // Run implements the sub-command.
 func (c *checkCmd) Run() error {
 	var problems []string
+	o, err := c.operator()
+	if oe := (*program.OperatorError)(nil); errors.As(err, &oe) {
+		for _, p := range oe.Problems {
+			problems = append(problems, fmt.Sprintf("%s: %s", oe.File, p))
+		}
+	} else if err != nil {
+		problems = append(problems, err.Error())
+	}
 	config, err := program.LoadConfig(os.Getenv("GW_CONFIG"))
 	if err != nil {
 		problems = append(problems, err.Error())
-	} else {
-		if c.UWSGI != "" {
-			if _, err := program.LoadUWSGI(c.UWSGI, config.Classes); err != nil {
-				problems = append(problems, err.Error())
-			}
-		}
-		if c.Rules != "" {
-			set, err := match.Load(c.Rules, config.Classes)
-			if le := (*match.LoadError)(nil); errors.As(err, &le) {
-				for _, p := range le.Problems {
-					problems = append(problems, fmt.Sprintf("%s: %s", c.Rules, p))
-				}
-			} else if err != nil {
-				problems = append(problems, err.Error())
-			} else {
-				for _, w := range set.Warnings() {
-					fmt.Printf("%s: warning: %s\n", c.Rules, w)
-				}
-			}
-		}
+	}
+	if config != nil && o != nil {
+		problems = append(problems, checkFiles(o, config.Classes)...)
 	}
 	for _, p := range problems {
 		fmt.Println(p)
@@ -60,6 +51,36 @@
 	return nil
 }
 
+// checkFiles gives the problems of the files that an operator's file names, and
+// prints their warnings.
+func checkFiles(o *program.Operator, classes []string) (problems []string) {
+	if o.UWSGI != "" {
+		front, err := program.LoadUWSGI(o.UWSGI, classes)
+		if err == nil {
+			err = apart(o, front)
+		}
+		if err != nil {
+			problems = append(problems, err.Error())
+		}
+	}
+	if o.Rules == "" {
+		return problems
+	}
+	set, err := match.Load(o.Rules, classes)
+	if le := (*match.LoadError)(nil); errors.As(err, &le) {
+		for _, p := range le.Problems {
+			problems = append(problems, fmt.Sprintf("%s: %s", o.Rules, p))
+		}
+	} else if err != nil {
+		problems = append(problems, err.Error())
+	} else {
+		for _, w := range set.Warnings() {
+			fmt.Printf("%s: warning: %s\n", o.Rules, w)
+		}
+	}
+	return problems
+}
+
 // describeCmd reports what a description's operations come to: which class
 // each names, whether the settings know it and agree with it, and where the
 // operator's rules disagree.
--- /dev/null
+++ b/logging/logging_test.go
@@ -0,0 +1,53 @@
+package logging
+
+import (
+	"bytes"
+	"context"
+	"log/slog"
+	"strings"
+	"testing"
+	"time"
+)
+
+// TestBounded repeats a line 25 times in a second, with 10 let through: 10 are
+// written, and the count of the others before the next one.
+func TestBounded(t *testing.T) {
+	var out bytes.Buffer
+	level := new(slog.LevelVar)
+	l := New(&out, Text, level, 10)
+	at := time.Unix(1_800_000_000, 0)
+	write := func(when time.Time, msg string) {
+		r := slog.NewRecord(when, slog.LevelWarn, msg, 0)
+		r.AddAttrs(slog.String("key", "k1"))
+		if err := l.Handler().Handle(context.Background(), r); err != nil {
+			t.Fatal(err)
+		}
+	}
+	for range 25 {
+		write(at, "journal_failed")
+	}
+	write(at, "other")
+	write(at.Add(time.Second), "journal_failed")
+	lines := strings.Split(strings.TrimSpace(out.String()), "\n")
+	if len(lines) != 13 || !strings.Contains(lines[11], "event=suppressed count=15 of=journal_failed") ||
+		!strings.Contains(lines[0], "level=WARN event=journal_failed key=k1") {
+		t.Errorf("%d lines:\n%s", len(lines), out.String())
+	}
+	out.Reset()
+	level.Set(slog.LevelError)
+	l.Warn("quiet")
+	if out.Len() != 0 {
+		t.Errorf("below the level: %q", out.String())
+	}
+}
+
+func TestJSON(t *testing.T) {
+	var out bytes.Buffer
+	New(&out, JSON, slog.LevelInfo, 0).Info("drain", "stop_in", "3s")
+	if !strings.Contains(out.String(), `"msg":"drain","stop_in":"3s"`) {
+		t.Errorf("%s", out.String())
+	}
+	if _, err := ParseLevel("loud"); err == nil {
+		t.Error("a level that is none")
+	}
+}
--- a/program/announce.go
+++ b/program/announce.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"net"
 	"sync"
 	"time"
@@ -21,6 +21,7 @@
 // works alone: an outage of the service touches nothing else.
 type announcer struct {
 	name    string
+	log     *slog.Logger
 	connect func(address string) (net.Conn, error)
 	changes chan bool
 	moves   chan string
@@ -29,8 +30,8 @@
 	waiting net.Conn // for the answer to a report; nil while it does not
 }
 
-func newAnnouncer(name string) *announcer {
-	return &announcer{name: name, changes: make(chan bool, 1), moves: make(chan string, 1),
+func newAnnouncer(name string, log *slog.Logger) *announcer {
+	return &announcer{name: name, log: log, changes: make(chan bool, 1), moves: make(chan string, 1),
 		connect: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, reportWithin) }}
 }
 
@@ -115,7 +116,7 @@
 		}
 		if (err != nil) != down && !errors.Is(err, errOverhauled) {
 			down = err != nil
-			log.Printf("event=announce down=%t error=%q", down, errorText(err))
+			a.log.Warn("announce", "down", down, "error", errorText(err))
 		}
 		select {
 		case <-ctx.Done():
--- a/program/announce_test.go
+++ b/program/announce_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"strings"
@@ -17,7 +18,7 @@
 func TestAnnounceHurries(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		reports := make(chan string, 9)
-		a := newAnnouncer("n1")
+		a := newAnnouncer("n1", slog.Default())
 		a.connect = func(address string) (net.Conn, error) {
 			near, far := net.Pipe()
 			go func() {
--- a/program/config.go
+++ b/program/config.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"fmt"
+	"log/slog"
 	"os"
 	"strconv"
 	"strings"
@@ -30,9 +31,12 @@
 	Sockets                     int
 	Classes                     []string
 	Settings                    decision.Settings
-	Gauges                      []string   // names, in the order in which the processor gives them
-	Rules                       *match.Set // of the operator's rule file, where there is one; nil for none
-	KeysDir                     string     // where the keys that ran outlive the process; "" keeps them in memory
+	Gauges                      []string     // names, in the order in which the processor gives them
+	Rules                       *match.Set   // of the operator's rule file, where there is one; nil for none
+	KeysDir                     string       // where the keys that ran outlive the process; "" keeps them in memory
+	KeysSync                    string       // always or never, as store.Sync; "" for always
+	Logger                      *slog.Logger // nil for slog.Default()
+	MetricsListen               string       // the operator's listener for /metrics; "" for none
 	text                        string
 }
 
--- a/program/handover.go
+++ b/program/handover.go
@@ -5,7 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"os"
 	"path/filepath"
@@ -30,6 +30,7 @@
 // over from the old: a socket in the folder for temporary files, which they share.
 type handoverDoor struct {
 	core         *routing.Core
+	log          *slog.Logger
 	folder, name string
 	// Where the platform refuses Unix sockets (ENOSYS, EACCES, or a socket that
 	// nobody comes to), the door stays shut and the process serves alone.
@@ -47,8 +48,8 @@
 	ended chan struct{} // closed with the connection
 }
 
-func newHandoverDoor(core *routing.Core, name string) *handoverDoor {
-	return &handoverDoor{core: core, folder: os.TempDir(), name: fmt.Sprintf("quincerail-%s.sock", name),
+func newHandoverDoor(core *routing.Core, name string, log *slog.Logger) *handoverDoor {
+	return &handoverDoor{core: core, log: log, folder: os.TempDir(), name: fmt.Sprintf("quincerail-%s.sock", name),
 		listen: net.Listen, dial: (&net.Dialer{}).DialContext}
 }
 
@@ -98,7 +99,7 @@
 		case <-time.After(meetAgain):
 		}
 	}
-	log.Printf("event=handover_failed error=%q", "the process before did not tell its keys in time")
+	h.log.Warn("handover_failed", "error", "the process before did not tell its keys in time")
 	return nil
 }
 
@@ -192,7 +193,7 @@
 		}
 		return nil
 	})
-	log.Printf("event=peer_gone elder=%t reason=%q", elder, fmt.Sprint(err))
+	h.log.Info("peer_gone", "elder", elder, "reason", fmt.Sprint(err))
 	h.core.Parted(p)
 }
 
--- a/program/handover_refused_test.go
+++ b/program/handover_refused_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log/slog"
 	"net"
 	"os"
 	"syscall"
@@ -26,7 +27,7 @@
 	refused := func(op string) error {
 		return &net.OpError{Op: op, Net: "unix", Err: os.NewSyscallError("socket", syscall.ENOSYS)}
 	}
-	door, dials := newHandoverDoor(core, "n1"), 0
+	door, dials := newHandoverDoor(core, "n1", slog.Default()), 0
 	door.dial = func(context.Context, string, string) (net.Conn, error) { dials++; return nil, refused("dial") }
 	door.listen = func(string, string) (net.Listener, error) { return nil, refused("listen") }
 	ctx, cancel := context.WithCancel(context.Background())
--- a/program/keys.go
+++ b/program/keys.go
@@ -3,7 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
-	"log"
+	"log/slog"
 	"strings"
 	"time"
 
@@ -36,8 +36,12 @@
 // records were lost, every key that it does not know is in doubt for the
 // longest window from now; that is recorded too, so that it holds through a
 // further restart.
-func openKeys(dir string, window time.Duration) (*store.Store, []routing.KeyState, time.Time, error) {
-	s, rec, err := store.Open(store.Options{Dir: dir, Sync: store.SyncAlways})
+func openKeys(dir, sync string, window time.Duration, log *slog.Logger) (*store.Store, []routing.KeyState, time.Time, error) {
+	policy := store.SyncAlways
+	if sync == "never" {
+		policy = store.SyncNever
+	}
+	s, rec, err := store.Open(store.Options{Dir: dir, Sync: policy})
 	if err != nil {
 		return nil, nil, time.Time{}, fmt.Errorf("keys: %w", err)
 	}
@@ -50,7 +54,7 @@
 		}
 		var k routing.KeyState
 		if err := json.Unmarshal(v.Bytes, &k); err != nil || !strings.HasPrefix(name, keyPrefix) {
-			log.Printf("event=keys_unreadable key=%q", name)
+			log.Warn("keys_unreadable", "key", name)
 			continue
 		}
 		states = append(states, k)
@@ -61,7 +65,7 @@
 			losses[i] = l.String()
 		}
 		doubt = time.Now().Add(window)
-		log.Printf("event=keys_lost losses=%q in_doubt_until=%s", strings.Join(losses, "; "), doubt.Format(time.RFC3339Nano))
+		log.Error("keys_lost", "losses", strings.Join(losses, "; "), "in_doubt_until", doubt.Format(time.RFC3339Nano))
 		done := make(chan error, 1)
 		s.Put(doubtKey, nil, doubt, func(err error) { done <- err })
 		if err := <-done; err != nil {
@@ -69,6 +73,6 @@
 			return nil, nil, time.Time{}, fmt.Errorf("keys: %w", err)
 		}
 	}
-	log.Printf("event=keys_recovered keys=%d truncated=%d", len(states), rec.Truncated)
+	log.Info("keys_recovered", "keys", len(states), "truncated", rec.Truncated)
 	return s, states, doubt, nil
 }
--- a/program/links_test.go
+++ b/program/links_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"io"
+	"log/slog"
 	"maps"
 	"net"
 	"slices"
@@ -128,7 +129,7 @@
 // the link breaks and whatever is lost with it.
 func FuzzProcessorLink(f *testing.F) {
 	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
-		link := newProcessorLink("", nil)
+		link := newProcessorLink("", nil, slog.Default())
 		link.core = newCore(t, routing.Options{Backend: link, Machine: link})
 		e := &engine{t: t, link: link}
 		got := make(answers, 1000)
@@ -181,7 +182,7 @@
 // them by its number.
 func TestProcessorMove(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		link := newProcessorLink("", nil)
+		link := newProcessorLink("", nil, slog.Default())
 		link.core = newCore(t, routing.Options{Backend: link, Machine: link})
 		e := &engine{t: t, link: link}
 		e.open()
@@ -221,7 +222,7 @@
 // make the server take its own runs for bad.
 func TestProcessorReject(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		link := newProcessorLink("", nil)
+		link := newProcessorLink("", nil, slog.Default())
 		self := &health{}
 		link.core = newCore(t, routing.Options{Backend: link, Machine: link, Presence: self})
 		e := &engine{t: t, link: link}
@@ -248,7 +249,7 @@
 func TestProcessorOutOfTurn(t *testing.T) {
 	for _, bytes := range []string{"hi old 5\r\n", "used 1 0\r\nhi new 5\r\n", "sing\r\n", "complete 1 a good 1 99999999\r\n"} {
 		synctest.Test(t, func(t *testing.T) {
-			link := newProcessorLink("", nil)
+			link := newProcessorLink("", nil, slog.Default())
 			link.core = newCore(t, routing.Options{Backend: link, Machine: link})
 			e := &engine{t: t, link: link}
 			e.open()
--- /dev/null
+++ b/program/metrics.go
@@ -0,0 +1,83 @@
+package program
+
+import (
+	"errors"
+	"log/slog"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"quincerail.example/quincerail/routing"
+)
+
+// kindNames are the answers' kinds as the metrics label them.
+var kindNames = map[routing.Kind]string{routing.Served: "served", routing.Refused: "refused",
+	routing.Failed: "failed", routing.TimedOut: "deadline", routing.Rejected: "rejected"}
+
+// metrics are a server's counts for its operators, in the Prometheus text
+// format on a listener of the operator's own (github.com/prometheus/client_golang):
+//
+//	quincerail_answers_total{class,kind}    final answers; kind is served, refused, failed, deadline or rejected
+//	quincerail_repeats_total{class}         of those served, the ones with another try's result
+//	quincerail_answer_seconds{class,kind}   from a request's coming to its answer
+//	quincerail_open_requests                handed in and not answered yet: held, waiting and running
+type metrics struct {
+	core     atomic.Pointer[routing.Core] // whose open requests are counted, once there is one
+	registry *prometheus.Registry
+	answers  *prometheus.CounterVec
+	repeats  *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+}
+
+func newMetrics() *metrics {
+	m := &metrics{registry: prometheus.NewRegistry(),
+		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "quincerail_answers_total",
+			Help: "Final answers, by class and kind."}, []string{"class", "kind"}),
+		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "quincerail_repeats_total",
+			Help: "Answers served with the result of another try of their key."}, []string{"class"}),
+		latency: prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "quincerail_answer_seconds",
+			Help:    "Time from a request's coming to its final answer.",
+			Buckets: []float64{0.01, 0.05, 0.1, 0.25, 0.5, 1, 1.8, 2.8, 5, 10}}, []string{"class", "kind"}),
+	}
+	m.registry.MustRegister(m.answers, m.repeats, m.latency,
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "quincerail_open_requests",
+			Help: "Requests handed in and not answered yet."}, func() float64 {
+			if c := m.core.Load(); c != nil {
+				return float64(c.Open())
+			}
+			return 0
+		}))
+	return m
+}
+
+// Answered implements routing.Observer.
+func (m *metrics) Answered(class string, kind routing.Kind, took time.Duration, repeat bool) {
+	name := kindNames[kind]
+	m.answers.WithLabelValues(class, name).Inc()
+	m.latency.WithLabelValues(class, name).Observe(took.Seconds())
+	if repeat {
+		m.repeats.WithLabelValues(class).Inc()
+	}
+}
+
+// serve offers /metrics at an address until the server is closed.
+func (m *metrics) serve(address string, log *slog.Logger) (*http.Server, net.Addr, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, err
+	}
+	mux := http.NewServeMux()
+	mux.Handle("/metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
+	hs := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	go func() {
+		if err := hs.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			log.Warn("metrics_stopped", "error", err.Error())
+		}
+	}()
+	log.Info("metrics", "address", l.Addr().String())
+	return hs, l.Addr(), nil
+}
--- /dev/null
+++ b/program/operator.go
@@ -0,0 +1,134 @@
+package program
+
+import (
+	_ "embed"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"cuelang.org/go/cue"
+	"cuelang.org/go/cue/cuecontext"
+	cueerrors "cuelang.org/go/cue/errors"
+	"github.com/BurntSushi/toml"
+)
+
+// operatorSchema is the CUE schema of the operator's file.
+//
+//go:embed operator.cue
+var operatorSchema string
+
+// Operator is the operator's file, in TOML or CUE, checked against
+// operator.cue: what the program switches on beside the platform's
+// configuration.
+type Operator struct {
+	UWSGI string `json:"uwsgi"`
+	Rules string `json:"rules"`
+	Keys  struct {
+		Dir  string `json:"dir"`
+		Sync string `json:"sync"`
+	} `json:"keys"`
+	Log struct {
+		Level   string `json:"level"`
+		Format  string `json:"format"`
+		Repeats int    `json:"repeats"`
+	} `json:"log"`
+	Metrics struct {
+		Listen string `json:"listen"`
+	} `json:"metrics"`
+}
+
+// OperatorError names every problem of an operator's file: a path and why, and
+// a place where the file is CUE.
+type OperatorError struct {
+	File     string
+	Problems []string
+}
+
+func (e *OperatorError) Error() string {
+	return fmt.Sprintf("%s: %s", e.File, strings.Join(e.Problems, "; "))
+}
+
+// LoadOperator reads an operator's file; "" gives the defaults. The error is an
+// *OperatorError where the file makes no sense.
+func LoadOperator(path string) (*Operator, error) {
+	ctx := cuecontext.New()
+	schema := ctx.CompileString(operatorSchema, cue.Filename("operator.cue")).LookupPath(cue.ParsePath("#Operator"))
+	if schema.Err() != nil {
+		return nil, fmt.Errorf("operator.cue: %w", schema.Err())
+	}
+	data := ctx.CompileString("{}")
+	if path != "" {
+		text, err := os.ReadFile(path)
+		if err != nil {
+			return nil, fmt.Errorf("operator: %w", err)
+		}
+		if filepath.Ext(path) == ".cue" {
+			data = ctx.CompileBytes(text, cue.Filename(path))
+		} else {
+			var m map[string]any
+			if _, err := toml.Decode(string(text), &m); err != nil {
+				return nil, &OperatorError{path, []string{err.Error()}}
+			}
+			b, err := json.Marshal(m)
+			if err != nil {
+				return nil, fmt.Errorf("operator: %w", err)
+			}
+			data = ctx.CompileBytes(b, cue.Filename(path))
+		}
+	}
+	v := schema.Unify(data)
+	if err := v.Validate(cue.Concrete(true)); err != nil {
+		return nil, &OperatorError{path, problems(err)}
+	}
+	var o Operator
+	if err := v.Decode(&o); err != nil {
+		return nil, fmt.Errorf("operator: %w", err)
+	}
+	return &o, nil
+}
+
+// problems gives one line a path: the most telling reason that CUE gives for
+// it (a value out of its bounds before a default that it conflicts with), and
+// the line in the file where it has one.
+func problems(err error) []string {
+	type problem struct {
+		line string
+		rank int
+	}
+	var order []string
+	best := map[string]problem{}
+	for _, e := range cueerrors.Errors(err) {
+		path := strings.TrimPrefix(strings.Join(e.Path(), "."), "#Operator.")
+		format, args := e.Msg()
+		msg := fmt.Sprintf(format, args...)
+		rank := 1
+		switch {
+		case strings.HasSuffix(msg, "empty disjunction:"):
+			rank = 0
+		case strings.HasPrefix(msg, "invalid value"):
+			rank = 2
+		case !strings.HasPrefix(msg, "conflicting values"):
+			rank = 3 // the schema's own reason
+		}
+		line := path + ": " + msg
+		for _, p := range e.InputPositions() {
+			if p.Filename() != "operator.cue" && p.Line() > 0 {
+				line = fmt.Sprintf("%s (line %d)", line, p.Line())
+				break
+			}
+		}
+		if was, ok := best[path]; !ok || rank > was.rank {
+			if !ok {
+				order = append(order, path)
+			}
+			best[path] = problem{line, rank}
+		}
+	}
+	lines := make([]string, len(order))
+	for i, path := range order {
+		lines[i] = best[path].line
+	}
+	return lines
+}
--- a/program/processor.go
+++ b/program/processor.go
@@ -4,7 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"slices"
 	"strconv"
 	"sync"
@@ -43,6 +43,7 @@
 // is passed over then: the processor says it again on the new one.
 type processorLink struct {
 	core   *routing.Core
+	log    *slog.Logger
 	gauges []string
 	link   *transport.Link
 
@@ -58,8 +59,8 @@
 	greeting *transport.Conn
 }
 
-func newProcessorLink(address string, gauges []string) *processorLink {
-	p := &processorLink{gauges: gauges, usages: make(map[uint64]func(decision.Gauges)), trials: make(map[string]func(bool))}
+func newProcessorLink(address string, gauges []string, log *slog.Logger) *processorLink {
+	p := &processorLink{log: log, gauges: gauges, usages: make(map[uint64]func(decision.Gauges)), trials: make(map[string]func(bool))}
 	p.link = transport.NewLink(address, p.opened, p.closed)
 	return p
 }
@@ -78,7 +79,7 @@
 	trials := p.lost()
 	p.mu.Unlock()
 	if err != nil { // else it was closed here
-		log.Printf("event=processor_link_lost error=%q", err)
+		p.log.Warn("processor_link_lost", "error", err.Error())
 	}
 	fail(trials)
 }
@@ -174,7 +175,7 @@
 		}
 	case processor.Reject:
 		if n.Word != "begin" {
-			log.Printf("event=processor_reject command=%s id=%s", n.Word, n.ID)
+			p.log.Warn("processor_reject", "command", n.Word, "id", n.ID)
 		} else { // nothing ran: neither does the key count as used, nor the run as one that failed
 			tell = func() { p.core.Completed(n.ID, routing.Unborn, 0, routing.Payload{}) }
 		}
--- a/program/program.go
+++ b/program/program.go
@@ -3,8 +3,9 @@
 import (
 	"context"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
+	"net/http"
 	"runtime"
 	"runtime/debug"
 	"slices"
@@ -53,23 +54,26 @@
 
 // Server is a running app server.
 type Server struct {
-	config   atomic.Pointer[Config] // in force
-	core     *routing.Core
-	link     *processorLink
-	pool     *ledgerPool
-	presence *announcer
-	thrift   *thriftFront
-	uwsgi    *uwsgiFront // nil where it is off, like its backend
-	backend  *uwsgiBackend
-	idle     *idleLimit
-	doors    []door            // the first is the platform's
-	control  *transport.Server // where operators call; may be nil
-	handover *handoverDoor     // nil where the listening socket is not inherited
-	rules    *match.Rules      // the operator's rules, that the fronts ask first
-	keys     *store.Store      // where the keys that ran outlive the process; nil where they don't
-	serving  atomic.Bool
-	quiet    context.CancelFunc // ends the reports
-	stop     context.CancelFunc
+	config      atomic.Pointer[Config] // in force
+	core        *routing.Core
+	link        *processorLink
+	pool        *ledgerPool
+	presence    *announcer
+	thrift      *thriftFront
+	uwsgi       *uwsgiFront // nil where it is off, like its backend
+	backend     *uwsgiBackend
+	idle        *idleLimit
+	doors       []door            // the first is the platform's
+	control     *transport.Server // where operators call; may be nil
+	handover    *handoverDoor     // nil where the listening socket is not inherited
+	rules       *match.Rules      // the operator's rules, that the fronts ask first
+	keys        *store.Store      // where the keys that ran outlive the process; nil where they don't
+	log         *slog.Logger
+	metrics     *http.Server // the operator's /metrics; nil where there is none
+	metricsAddr net.Addr
+	serving     atomic.Bool
+	quiet       context.CancelFunc // ends the reports
+	stop        context.CancelFunc
 }
 
 // Limit sets the process's memory limit and threads from the configuration.
@@ -80,16 +84,25 @@
 
 // Start brings an app server up. The uwsgi front is off where u is nil.
 func Start(c *Config, u *UWSGIConfig) (*Server, error) {
-	link, pool := newProcessorLink(c.Processor, c.Gauges), newLedgerPool(c.Ledger)
-	presence, idle := newAnnouncer(c.Name), &idleLimit{}
+	logger := c.Logger
+	if logger == nil {
+		logger = slog.Default()
+	}
+	link, pool := newProcessorLink(c.Processor, c.Gauges, logger), newLedgerPool(c.Ledger)
+	presence, idle := newAnnouncer(c.Name, logger), &idleLimit{}
 	idle.CloseIdle(c.Settings.MaxIdle)
-	opt := routing.Options{Settings: c.Settings, Classes: c.Classes, Seed: c.Seed,
+	opt := routing.Options{Settings: c.Settings, Classes: c.Classes, Seed: c.Seed, Logger: logger,
 		Backend: link, Machine: link, Dependency: pool, Presence: presence, Connections: idle,
 		KeyBytes: c.MemoryMB << 20 / keysShare}
+	var watch *metrics
+	if c.MetricsListen != "" {
+		watch = newMetrics()
+		opt.Observer = watch
+	}
 	var keys *store.Store
 	if c.KeysDir != "" {
 		var err error
-		if keys, opt.Recovered, opt.InDoubtUntil, err = openKeys(c.KeysDir, longestWindow(c.Settings)); err != nil {
+		if keys, opt.Recovered, opt.InDoubtUntil, err = openKeys(c.KeysDir, c.KeysSync, longestWindow(c.Settings), logger); err != nil {
 			return nil, err
 		}
 		opt.Journal = keyJournal{keys}
@@ -99,12 +112,15 @@
 		return nil, err
 	}
 	link.core, pool.core = core, core
+	if watch != nil {
+		watch.core.Store(core)
+	}
 	rules := &match.Rules{}
 	if c.Rules != nil {
 		rules.Replace(c.Rules)
 	}
 	s := &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules), idle: idle,
-		rules: rules, keys: keys}
+		rules: rules, keys: keys, log: logger}
 	s.config.Store(c)
 	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
 		return nil, err
@@ -115,7 +131,7 @@
 			s.doors[0].server.Close()
 			return nil, fmt.Errorf("control: %w", err)
 		}
-		log.Printf("event=control address=%s", l.Addr())
+		s.log.Info("control", "address", l.Addr().String())
 		s.control = transport.NewServer(l, controlConns, (&controlDoor{core, &s.serving}).serve, func() {})
 	}
 	if u != nil {
@@ -126,6 +142,14 @@
 			return nil, err
 		}
 	}
+	if watch != nil {
+		if s.metrics, s.metricsAddr, err = watch.serve(c.MetricsListen, logger); err != nil {
+			for _, d := range s.doors {
+				d.server.Close()
+			}
+			return nil, fmt.Errorf("metrics: %w", err)
+		}
+	}
 	if s.control != nil {
 		go s.control.Run()
 	}
@@ -137,7 +161,7 @@
 	if c.ListenFD == 0 {
 		s.open(working, c)
 	} else {
-		s.handover = newHandoverDoor(core, c.Name)
+		s.handover = newHandoverDoor(core, c.Name, logger)
 		go s.takeOver(working, c)
 	}
 	return s, nil
@@ -152,7 +176,7 @@
 	go s.presence.run(ctx, c.Announce)
 	for _, d := range s.doors {
 		go d.server.Run()
-		log.Printf("event=listening name=%s address=%s", c.Name, d.server.Addr())
+		s.log.Info("listening", "name", c.Name, "address", d.server.Addr().String())
 	}
 	s.serving.Store(true)
 }
@@ -170,7 +194,7 @@
 	}
 	server, err := s.handover.open()
 	if err != nil { // it serves, but its successor won't know its keys
-		log.Printf("event=handover_failed error=%q", err)
+		s.log.Warn("handover_failed", "error", err.Error())
 		return
 	}
 	stop := context.AfterFunc(ctx, server.Close)
@@ -240,7 +264,7 @@
 	s.pool.move(c.Ledger)
 	s.presence.move(c.Announce)
 	if c.Rules != nil {
-		log.Printf("event=rules version=%d rules=%d", s.rules.Replace(c.Rules), c.Rules.Len())
+		s.log.Info("rules", "version", s.rules.Replace(c.Rules), "rules", c.Rules.Len())
 	}
 	stays := map[string]bool{"name": c.Name != was.Name, "listen": c.Listen != was.Listen, "control": c.Control != was.Control,
 		"limits.sockets": c.Sockets != was.Sockets, "settings.familyInfo.ownStats": !slices.Equal(c.Gauges, was.Gauges)}
@@ -250,11 +274,11 @@
 	}
 	for key, changed := range stays {
 		if changed {
-			log.Printf("event=reload_ignored key=%q reason=%q", key, "needs a restart")
+			s.log.Warn("reload_ignored", "key", key, "reason", "needs a restart")
 		}
 	}
 	s.config.Store(c)
-	log.Printf("event=reloaded processor=%s ledger=%s announce=%s classes=%q", c.Processor, c.Ledger, c.Announce, c.Classes)
+	s.log.Info("reloaded", "processor", c.Processor, "ledger", c.Ledger, "announce", c.Announce, "classes", fmt.Sprintf("%q", c.Classes))
 	return nil
 }
 
@@ -275,6 +299,7 @@
 // grace is still taken, and it returns when all is answered and the callers
 // have closed their connections, or just before the process is killed.
 func (s *Server) Drain() {
+	defer s.closeMetrics()
 	defer s.closeKeys() // once the core has stopped
 	defer s.stop()
 	if s.handover != nil {
@@ -286,7 +311,7 @@
 	defer s.doors[0].server.Close()
 	config := s.config.Load()
 	stopAt := time.Now().Add(config.Stop)
-	log.Printf("event=drain stop_in=%v", config.Stop)
+	s.log.Info("drain", "stop_in", config.Stop.String())
 	s.core.Drain(stopAt)
 	for _, d := range s.doors {
 		d.front.leave()
@@ -309,18 +334,27 @@
 		select {
 		case <-d.server.Empty():
 		case <-last.Done():
-			log.Printf("event=stopped connections=open")
+			s.log.Info("stopped", "connections", "open")
 			return
 		}
 	}
-	log.Printf("event=stopped connections=closed")
+	s.log.Info("stopped", "connections", "closed")
 }
 
+func (s *Server) closeMetrics() {
+	if s.metrics != nil {
+		s.metrics.Close()
+	}
+}
+
+// MetricsAddr is the address of the operator's /metrics, nil where there is none.
+func (s *Server) MetricsAddr() net.Addr { return s.metricsAddr }
+
 func (s *Server) closeKeys() {
 	if s.keys != nil {
 		<-s.core.Done()
 		if err := s.keys.Close(); err != nil {
-			log.Printf("event=keys_close_failed error=%q", err)
+			s.log.Warn("keys_close_failed", "error", err.Error())
 		}
 	}
 }
@@ -354,9 +388,9 @@
 		case <-again:
 			continue
 		case <-done:
-			log.Printf("event=stopped connections=closed")
+			s.log.Info("stopped", "connections", "closed")
 		case <-last:
-			log.Printf("event=stopped connections=open")
+			s.log.Info("stopped", "connections", "open")
 		}
 		break
 	}
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -51,6 +51,7 @@
 		case a == nil:
 		case a.entry != nil && a.begun:
 			a.answered = true // the module hears of its end as of any run's
+			c.open.Add(-1)
 		default:
 			c.gone(a)
 		}
@@ -67,6 +68,7 @@
 
 func (c *Core) gone(a *attempt) {
 	a.answered = true
+	c.open.Add(-1)
 	if c.module != nil {
 		c.module.Gone(c.now, a.ID)
 	}
--- a/routing/book.go
+++ b/routing/book.go
@@ -1,6 +1,6 @@
 package routing
 
-import "log"
+import "time"
 
 // Book: the final answer is given and remembered.
 
@@ -12,6 +12,11 @@
 	}
 	a.answered = true
 	a.Sink.Answer(a.ID, o)
+	c.open.Add(-1)
+	if c.opt.Observer != nil {
+		repeat := o.Kind == Served && a.entry != nil && a.entry.ran != a.ID
+		c.opt.Observer.Answered(a.Class, o.Kind, time.Duration(c.now-a.door), repeat)
+	}
 	c.release(a)
 }
 
@@ -69,7 +74,7 @@
 		k.Over = over
 		c.opt.Journal.Record(k, func(err error) {
 			if err != nil {
-				log.Printf("event=journal_failed key=%q error=%q", k.Key, err)
+				c.log.Warn("journal_failed", "key", k.Key, "error", err.Error())
 			}
 		})
 	}
--- a/routing/core.go
+++ b/routing/core.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"errors"
-	"log"
+	"log/slog"
 	"sync/atomic"
 	"time"
 
@@ -49,6 +49,18 @@
 	// limits that adapt (package limits); the classes are those of Settings,
 	// and Cheapest names the one that the reserve is for.
 	Pools *PoolOptions
+	// Logger takes what the core has to say: no line a request but for faults;
+	// nil for slog.Default().
+	Logger *slog.Logger
+	// Observer, where not nil, is told of each final answer, for metrics.
+	Observer Observer
+}
+
+// Observer is told of each final answer: the class by its name, the kind, and
+// how long after the request came; repeat tells an answer that was another
+// try's result. Its method must not block.
+type Observer interface {
+	Answered(class string, kind Kind, took time.Duration, repeat bool)
 }
 
 // PoolOptions are what the pools are made of.
@@ -92,13 +104,22 @@
 	draining  bool
 	stopAt    time.Duration
 	pools     *limits.Pools // nil where runs are bound by the module alone
+	log       *slog.Logger
+	open      atomic.Int64 // requests handed in and not yet answered, for Open
 }
 
+// Open is the number of requests handed in and not answered yet. It may be
+// called from any goroutine.
+func (c *Core) Open() int64 { return c.open.Load() }
+
 // New makes a core. The error names the setting that makes no sense.
 func New(opt Options) (*Core, error) {
 	c := &Core{opt: opt, first: make(map[string]bool), events: make(chan func(), mailbox),
 		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true,
-		gauges: decision.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}}
+		gauges: decision.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}, log: opt.Logger}
+	if c.log == nil {
+		c.log = slog.Default()
+	}
 	if err := c.retune(opt.Settings, opt.Classes); err != nil {
 		return nil, err
 	}
@@ -201,7 +222,7 @@
 		s.Cold = cold
 		module, err := policy.New(s, c.opt.Seed, host{c})
 		if err != nil { // New has tried the same settings
-			log.Printf("event=module_failed error=%q", err)
+			c.log.Error("module_failed", "error", err.Error())
 			return
 		}
 		c.module = module
@@ -305,7 +326,7 @@
 func (c *Core) setAway(on bool) {
 	if c.away != on {
 		c.away = on
-		log.Printf("event=away on=%t", on)
+		c.log.Info("away", "on", on)
 		c.report()
 	}
 }
--- a/routing/peer.go
+++ b/routing/peer.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"log"
 	"time"
 )
 
@@ -165,7 +164,7 @@
 func (c *Core) HandOver(stopAt time.Time) <-chan struct{} {
 	settled := make(chan struct{})
 	c.post(func() {
-		log.Printf("event=handover open=%d", len(c.attempts))
+		c.log.Info("handover", "open", len(c.attempts))
 		c.stopAt, c.settled = time.Duration(stopAt.Add(-stopMargin).UnixNano()), settled
 	})
 	return settled
--- a/routing/route.go
+++ b/routing/route.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"log"
 	"time"
 )
 
@@ -37,7 +36,7 @@
 	a.claiming = false
 	switch {
 	case err != nil:
-		log.Printf("event=journal_refused key=%q error=%q", a.Key, err)
+		c.log.Warn("journal_refused", "key", a.Key, "error", err.Error())
 		c.keys.unclaim(a)
 		c.book(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
 		c.completed(a.ID, Unborn, 0, Payload{})
--- a/routing/send.go
+++ b/routing/send.go
@@ -1,7 +1,6 @@
 package routing
 
 import (
-	"log"
 	"time"
 
 	"quincerail.example/quincerail/decision"
@@ -133,4 +132,4 @@
 }
 
 // Log writes the module's remarks.
-func (h host) Log(text string) { log.Printf("event=module remark=%q", text) }
+func (h host) Log(text string) { h.log.Info("module", "remark", text) }
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -80,6 +80,7 @@
 		a.backend = c.opt.Backend
 	}
 	c.attempts[r.ID] = a
+	c.open.Add(1)
 	// The module takes how long a request has waited for how late reads are, and a
 	// server whose reads are late for sick. A door that makes no sense must not.
 	if c.now > a.due {
