--- a/cmd/quincerail/serve.go
+++ b/cmd/quincerail/serve.go
@@ -112,6 +112,9 @@
 	}
 	config.KeysDir, config.KeysSync, config.MetricsListen, config.Logger =
 		o.Keys.Dir, o.Keys.Sync, o.Metrics.Listen, logger
+	if config.Fleet, err = o.FleetOf(config); err != nil {
+		return nil, nil, err
+	}
 	if o.Rules != "" {
 		if config.Rules, err = match.Load(o.Rules, config.Classes); err != nil {
 			return nil, nil, err
--- a/cmd/quincerail/tools.go
+++ b/cmd/quincerail/tools.go
@@ -39,6 +39,9 @@
 		problems = append(problems, err.Error())
 	}
 	if config != nil && o != nil {
+		if _, err := o.FleetOf(config); err != nil {
+			problems = append(problems, err.Error())
+		}
 		problems = append(problems, checkFiles(o, config.Classes)...)
 	}
 	for _, p := range problems {
--- /dev/null
+++ b/fleet/config.go
@@ -0,0 +1,80 @@
+// Package fleet has processes of the program act together: a small group of
+// voters agrees on who owns each piece of fleet work (package lease, over
+// package consensus), all members hear of each other and of the work's results
+// (package gossip), and every receiver refuses what a late-waking old owner
+// still sends (lease.Fence).
+//
+// The fleet work done here is the registry's judgement: the owner of the lease
+// Registry probes the shared dependency and tells every member, and the
+// operator's registry, how it stands.
+package fleet
+
+import (
+	"fmt"
+	"log/slog"
+	"slices"
+	"time"
+
+	"quincerail.example/quincerail/fleet/lease"
+)
+
+// Registry names the lease on probing the shared dependency and publishing how
+// it stands.
+const Registry = "registry"
+
+// Role is a member's part.
+type Role string
+
+// The roles.
+const (
+	Off    Role = "off"
+	Voter  Role = "voter"  // agrees on leases and may own them
+	Member Role = "member" // hears only
+)
+
+// Config is what a member is told.
+type Config struct {
+	Fleet  string // the fleet's name: two never talk
+	Self   string
+	Role   Role
+	Raft   string            // address where a voter hears the others
+	Gossip string            // address, TCP and UDP, where a member hears the others
+	Dir    string            // of a voter's log
+	Voters map[string]string // name to Raft address of all voters
+	Seeds  map[string]string // name to Gossip address of members to join by
+
+	Election time.Duration // without word from a leader, until a voter stands (one to two of it)
+	Term     time.Duration // of a lease
+	Drift    float64       // most that a member's clock runs fast or slow by
+	// ClockRate is that of the clock that leases are counted by; 1 but in
+	// drills, where a member plays one whose clock drifts.
+	ClockRate float64
+
+	Probe      string        // address of the shared dependency
+	ProbeEvery time.Duration // between two probes
+	Slow       time.Duration // a probe that takes longer finds the dependency slow
+	Publish    string        // URL that judgements are put to; "" for none
+
+	Logger *slog.Logger // nil for slog.Default()
+}
+
+// Validate gives an error that names the operator's key at fault.
+func (c *Config) Validate() error {
+	if c.Role != Voter {
+		return nil
+	}
+	if _, ok := c.Voters[c.Self]; !ok {
+		return fmt.Errorf("fleet.voters: this process, %s, is a voter and not among them", c.Self)
+	}
+	if !slices.Contains([]int{1, 3, 5}, len(c.Voters)) {
+		return fmt.Errorf("fleet.voters: %d, 3 or 5 wanted (1 to try it)", len(c.Voters))
+	}
+	if err := c.timing().Validate(); err != nil {
+		return fmt.Errorf("fleet.lease_ms: %w", err)
+	}
+	return nil
+}
+
+func (c *Config) timing() lease.Timing {
+	return lease.Timing{Term: c.Term, Drift: c.Drift, Renew: c.Term / 4}
+}
--- /dev/null
+++ b/fleet/consensus/node.go
@@ -0,0 +1,289 @@
+// Package consensus has a small group of voters agree on a log of commands, on
+// go.etcd.io/raft/v3 (Ongaro and Ousterhout, "In Search of an Understandable
+// Consensus Algorithm", 2014, with pre-vote and check-quorum). The library
+// decides; this package gives it a clock, a log on store, and the messages of a
+// transport.
+package consensus
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"log/slog"
+	"slices"
+	"time"
+
+	"go.etcd.io/raft/v3"
+	"go.etcd.io/raft/v3/raftpb"
+	"google.golang.org/protobuf/proto"
+
+	"quincerail.example/quincerail/store"
+)
+
+const (
+	ticksPerElection = 10   // of raft's clock; it draws each time-out from one to two elections
+	waiting          = 1024 // messages from other voters that wait to be taken in; more are dropped
+	mostMessage      = 256 << 10
+	mostInflight     = 64
+)
+
+// Machine is what the log is for. All methods are called by the node's
+// goroutine, one at a time, and must not block.
+type Machine interface {
+	// Apply takes in the command at a place of the log.
+	Apply(data []byte, term, index uint64)
+	// Tick is called ten times an election time-out, and gives commands to
+	// propose. leader tells whether this voter leads.
+	Tick(leader bool) [][]byte
+	// Snapshot gives the state that all applied commands came to.
+	Snapshot() ([]byte, error)
+	// Restore takes over a snapshot of another voter, or of an earlier process.
+	Restore(data []byte) error
+}
+
+// Options are what a node is made of. All but Logger are required.
+type Options struct {
+	Self     string
+	Voters   []string      // names of all, Self among them; the same at each
+	Election time.Duration // without word from a leader, until a voter stands; raft draws from one to two of it
+	Dir      string        // of the log
+	Machine  Machine
+	Send     func(to string, message []byte) // must not block; may lose messages
+	Logger   *slog.Logger                    // nil for slog.Default()
+}
+
+// Node is a voter at work.
+type Node struct {
+	opt      Options
+	log      *slog.Logger
+	names    map[uint64]string
+	conf     *raftpb.ConfState
+	store    *store.Store
+	disk     *diskLog
+	raft     *raft.RawNode
+	applied  uint64
+	snapped  uint64
+	messages chan *raftpb.Message
+	calls    chan func()
+	done     chan struct{}
+	stop     context.CancelFunc
+}
+
+// id is a voter's number in raft, from its name.
+func id(name string) uint64 {
+	h := fnv.New64a()
+	h.Write([]byte(name))
+	return h.Sum64()
+}
+
+// Start recovers a voter's log and begins to take part. The error wraps
+// ErrDamaged where the log lost records.
+func Start(opt Options) (*Node, error) {
+	n := &Node{opt: opt, log: opt.Logger, names: map[uint64]string{}, conf: &raftpb.ConfState{},
+		messages: make(chan *raftpb.Message, waiting), calls: make(chan func(), 16), done: make(chan struct{})}
+	if n.log == nil {
+		n.log = slog.Default()
+	}
+	if !slices.Contains(opt.Voters, opt.Self) {
+		return nil, fmt.Errorf("consensus: %s is not among the voters %v", opt.Self, opt.Voters)
+	}
+	for _, name := range opt.Voters {
+		if other, ok := n.names[id(name)]; ok {
+			return nil, fmt.Errorf("consensus: voters %s and %s have the same number", name, other)
+		}
+		n.names[id(name)] = name
+		n.conf.Voters = append(n.conf.Voters, id(name))
+	}
+	slices.Sort(n.conf.Voters)
+	s, rec, err := store.Open(store.Options{Dir: opt.Dir})
+	if err != nil {
+		return nil, fmt.Errorf("consensus: %w", err)
+	}
+	n.store = s
+	if err := n.recover(rec); err != nil {
+		s.Close()
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	go n.run(ctx)
+	return n, nil
+}
+
+func (n *Node) recover(rec *store.Recovered) error {
+	var err error
+	if n.disk, err = openLog(n.store, rec, n.conf.Voters); err != nil {
+		return err
+	}
+	snap, err := n.disk.mem.Snapshot()
+	if err != nil {
+		return fmt.Errorf("consensus: snapshot: %w", err)
+	}
+	if !slices.Equal(snap.GetMetadata().GetConfState().GetVoters(), n.conf.Voters) {
+		return fmt.Errorf("consensus: the log in %s is that of other voters than %v", n.opt.Dir, n.opt.Voters)
+	}
+	n.applied = snap.GetMetadata().GetIndex()
+	n.snapped = n.applied
+	if len(snap.GetData()) > 0 {
+		if err := n.opt.Machine.Restore(snap.GetData()); err != nil {
+			return fmt.Errorf("consensus: %w", err)
+		}
+	}
+	n.raft, err = raft.NewRawNode(&raft.Config{ID: id(n.opt.Self), ElectionTick: ticksPerElection, HeartbeatTick: 1,
+		Storage: n.disk.mem, Applied: n.applied, MaxSizePerMsg: mostMessage, MaxInflightMsgs: mostInflight,
+		CheckQuorum: true, PreVote: true, Logger: raftLog{n.log}})
+	if err != nil {
+		return fmt.Errorf("consensus: %w", err)
+	}
+	return nil
+}
+
+// Receive takes a message of another voter, which Send gave it. It drops what
+// makes no sense, and what there is no room for.
+func (n *Node) Receive(message []byte) {
+	m := &raftpb.Message{}
+	if err := proto.Unmarshal(message, m); err != nil || n.names[m.GetFrom()] == "" || raft.IsLocalMsg(m.GetType()) {
+		n.log.Warn("fleet_message_refused", "bytes", len(message))
+		return
+	}
+	select {
+	case n.messages <- m:
+	default:
+	}
+}
+
+// Do has f called by the node's goroutine, and returns when that is done, or
+// the node has stopped. What f gives is proposed.
+func (n *Node) Do(f func() [][]byte) {
+	did := make(chan struct{})
+	select {
+	case n.calls <- func() { n.propose(f()); close(did) }:
+	case <-n.done:
+		return
+	}
+	select {
+	case <-did:
+	case <-n.done:
+	}
+}
+
+// Yield hands leadership to another voter, if this one has it.
+func (n *Node) Yield() {
+	n.Do(func() [][]byte {
+		if s := n.raft.Status(); s.RaftState == raft.StateLeader {
+			best, match := uint64(0), uint64(0)
+			for to, p := range s.Progress {
+				if to != s.ID && p.RecentActive && p.Match >= match {
+					best, match = to, p.Match
+				}
+			}
+			if best != 0 {
+				n.raft.TransferLeader(best)
+			}
+		}
+		return nil
+	})
+}
+
+// Stop ends the voter and closes its log.
+func (n *Node) Stop() error {
+	n.stop()
+	<-n.done
+	if err := n.store.Close(); err != nil {
+		return fmt.Errorf("consensus: %w", err)
+	}
+	return nil
+}
+
+// Done is closed when the voter has stopped, of its own where its log failed.
+func (n *Node) Done() <-chan struct{} { return n.done }
+
+func (n *Node) run(ctx context.Context) {
+	defer close(n.done)
+	ticker := time.NewTicker(n.opt.Election / ticksPerElection)
+	defer ticker.Stop()
+	for {
+		if err := n.ready(); err != nil { // it must not say what it could not keep
+			n.log.Error("fleet_voter_stopped", "error", err.Error())
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			n.raft.Tick()
+			n.propose(n.opt.Machine.Tick(n.raft.BasicStatus().RaftState == raft.StateLeader))
+		case m := <-n.messages:
+			n.step(m)
+			for range len(n.messages) { // all that has come is taken in before the next write
+				n.step(<-n.messages)
+			}
+		case f := <-n.calls:
+			f()
+		}
+	}
+}
+
+// step takes in a message; raft refuses some, and that is no matter.
+func (n *Node) step(m *raftpb.Message) {
+	if err := n.raft.Step(m); err != nil && !errors.Is(err, raft.ErrProposalDropped) {
+		n.log.Debug("fleet_message", "error", err.Error())
+	}
+}
+
+// propose has commands added to the log, if there is a leader; their senders
+// send them again if not.
+func (n *Node) propose(commands [][]byte) {
+	for _, c := range commands {
+		if err := n.raft.Propose(c); err != nil {
+			n.log.Debug("fleet_proposal", "error", err.Error())
+		}
+	}
+}
+
+// ready does what raft wants done: what it wants kept is kept before anybody
+// is told of it.
+func (n *Node) ready() error {
+	for n.raft.HasReady() {
+		rd := n.raft.Ready()
+		if err := n.disk.save(&rd); err != nil {
+			return err
+		}
+		for _, m := range rd.Messages {
+			b, err := proto.Marshal(m)
+			if err != nil {
+				return fmt.Errorf("consensus: message: %w", err)
+			}
+			n.opt.Send(n.names[m.GetTo()], b)
+			if m.GetType() == raftpb.MsgSnap { // whether it arrived, the next answer tells
+				n.raft.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
+			}
+		}
+		if !raft.IsEmptySnap(rd.Snapshot) {
+			if err := n.opt.Machine.Restore(rd.Snapshot.GetData()); err != nil {
+				return fmt.Errorf("consensus: %w", err)
+			}
+			n.applied = rd.Snapshot.GetMetadata().GetIndex()
+			n.snapped = n.applied
+		}
+		for _, e := range rd.CommittedEntries {
+			n.applied = e.GetIndex()
+			if e.GetType() == raftpb.EntryNormal && len(e.GetData()) > 0 {
+				n.opt.Machine.Apply(e.GetData(), e.GetTerm(), e.GetIndex())
+			}
+		}
+		n.raft.Advance(rd)
+		if n.applied >= n.snapped+snapEvery {
+			data, err := n.opt.Machine.Snapshot()
+			if err != nil {
+				return fmt.Errorf("consensus: %w", err)
+			}
+			if err := n.disk.snapshot(n.applied, n.conf, data); err != nil {
+				return err
+			}
+			n.snapped = n.applied
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,232 @@
+package fleet
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"log/slog"
+	"maps"
+	"net/http"
+	"slices"
+	"time"
+
+	"quincerail.example/quincerail/fleet/consensus"
+	"quincerail.example/quincerail/fleet/gossip"
+	"quincerail.example/quincerail/fleet/lease"
+	"quincerail.example/quincerail/fleet/link"
+)
+
+// leaveWithin is how long a member that ends waits for its leave to spread.
+const leaveWithin = 300 * time.Millisecond
+
+// Fleet is this process's membership.
+type Fleet struct {
+	conf    Config
+	log     *slog.Logger
+	self    lease.Owner
+	board   *board
+	members *gossip.Members
+	stop    context.CancelFunc
+	worked  chan struct{} // closed when the worker has ended
+
+	// Of a voter; nil in other members.
+	machine *machine
+	node    *consensus.Node
+	mesh    *link.Mesh
+}
+
+// Stats are a member's counts.
+type Stats struct {
+	Alive    int   // members that are thought to be alive, this one too
+	Owner    bool  // of the lease Registry
+	Messages int64 // sent to other members, voters' among them
+	Bytes    int64 // likewise
+	Stale    int   // pieces of fleet work refused for their token
+}
+
+// Start joins the fleet. Others need not be up yet.
+func Start(c Config) (*Fleet, error) {
+	if err := c.Validate(); err != nil {
+		return nil, err
+	}
+	f := &Fleet{conf: c, log: c.Logger, worked: make(chan struct{})}
+	if f.log == nil {
+		f.log = slog.Default()
+	}
+	var life [8]byte
+	rand.Read(life[:]) // never fails (crypto/rand)
+	f.self = lease.Owner{Member: c.Self, Life: binary.BigEndian.Uint64(life[:])>>1 + 1}
+	fence := &lease.Fence{}
+	f.board = &board{log: f.log, fence: fence, latest: map[string]Judgement{}}
+	raft := ""
+	if c.Role == Voter {
+		if err := f.startVoter(fence); err != nil {
+			return nil, err
+		}
+		raft = f.mesh.Addr().String()
+	}
+	var err error
+	if f.members, err = gossip.Start(gossip.Options{Fleet: c.Fleet, Self: c.Self, Listen: c.Gossip, Seeds: c.Seeds,
+		News: f.board, Logger: f.log}); err != nil {
+		f.stopVoter()
+		return nil, err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	f.stop = stop
+	go f.work(ctx)
+	f.log.Info("fleet", "name", c.Self, "role", string(c.Role), "raft", raft, "gossip", f.members.Addr())
+	return f, nil
+}
+
+func (f *Fleet) startVoter(fence *lease.Fence) error {
+	member, err := lease.NewMember(f.self, f.conf.timing(), []string{Registry})
+	if err != nil {
+		return err
+	}
+	began := time.Now()
+	rate := f.conf.ClockRate
+	f.machine = &machine{log: f.log, fence: fence, member: member, moved: make(chan struct{}, 1),
+		clock: func() time.Duration { return time.Duration(float64(time.Since(began)) * rate) }}
+	peers := maps.Clone(f.conf.Voters)
+	delete(peers, f.conf.Self)
+	ready := make(chan struct{})
+	f.mesh, err = link.Listen(link.Options{Fleet: f.conf.Fleet, Self: f.conf.Self, Listen: f.conf.Raft, Peers: peers, Logger: f.log,
+		Receive: func(b []byte) {
+			if <-ready; f.node != nil { // nil where it did not start
+				f.node.Receive(b)
+			}
+		}})
+	if err != nil {
+		return err
+	}
+	defer close(ready)
+	f.node, err = consensus.Start(consensus.Options{Self: f.conf.Self, Voters: slices.Sorted(maps.Keys(f.conf.Voters)),
+		Election: f.conf.Election, Dir: f.conf.Dir, Machine: f.machine, Send: f.mesh.Send, Logger: f.log})
+	if err != nil {
+		go f.mesh.Close()
+		return err
+	}
+	return nil
+}
+
+// Owner tells whether this process may act as the owner of a lease now, and
+// under which token. It is to be asked right before each act, and the token to
+// go with the act.
+func (f *Fleet) Owner(name string) (lease.Token, bool) {
+	if f.machine == nil {
+		return lease.Token{}, false
+	}
+	return f.machine.holds(name)
+}
+
+// Judgement is the latest word on the shared dependency that this member has.
+func (f *Fleet) Judgement() Judgement {
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	if j, ok := f.board.latest[Registry]; ok {
+		return j
+	}
+	return Judgement{Lease: Registry, State: Unknown}
+}
+
+// Stats counts.
+func (f *Fleet) Stats() Stats {
+	s := Stats{Alive: len(f.members.Alive())}
+	_, s.Owner = f.Owner(Registry)
+	s.Messages, s.Bytes = f.members.Sent()
+	if f.mesh != nil {
+		messages, bytes := f.mesh.Sent()
+		s.Messages, s.Bytes = s.Messages+messages, s.Bytes+bytes
+	}
+	f.board.mu.Lock()
+	defer f.board.mu.Unlock()
+	s.Stale = f.board.stale
+	return s
+}
+
+// work probes and publishes while this process owns the lease.
+func (f *Fleet) work(ctx context.Context) {
+	defer close(f.worked)
+	client := &http.Client{Timeout: f.conf.Term}
+	defer client.CloseIdleConnections()
+	ticker := time.NewTicker(f.conf.ProbeEvery)
+	defer ticker.Stop()
+	var moved <-chan struct{}
+	if f.machine != nil {
+		moved = f.machine.moved
+	}
+	var held lease.Token
+	for seq := uint64(1); ; seq++ {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		case <-moved: // a new owner begins at once
+		}
+		token, ok := f.Owner(Registry)
+		if held != (lease.Token{}) && (!ok || token != held) {
+			f.log.Warn("lease_lapsed", "lease", Registry, "token", held.String())
+		}
+		if held = token; !ok {
+			held = lease.Token{}
+			continue
+		}
+		state, took := probe(ctx, f.conf.Probe, f.conf.Slow)
+		if now, ok := f.Owner(Registry); !ok || now != token { // it ran out meanwhile
+			continue
+		}
+		f.publish(ctx, client, Judgement{Lease: Registry, Token: token, Seq: seq, By: f.conf.Self, State: state, Took: took})
+	}
+}
+
+func (f *Fleet) publish(ctx context.Context, client *http.Client, j Judgement) {
+	piece, err := json.Marshal(j)
+	if err != nil {
+		f.log.Error("fleet_publish_failed", "error", err.Error())
+		return
+	}
+	f.board.Heard(piece)
+	f.members.Tell(j.Lease, piece)
+	if f.conf.Publish == "" {
+		return
+	}
+	if err := put(ctx, client, f.conf.Publish, j); err != nil && ctx.Err() == nil {
+		f.log.Warn("fleet_publish_failed", "token", j.Token.String(), "error", err.Error())
+	}
+}
+
+// Stop gives up what this process owns, hands leadership on, takes leave, and
+// ends. It takes no longer than within, and a little.
+func (f *Fleet) Stop(within time.Duration) {
+	f.stop()
+	<-f.worked
+	if f.machine != nil {
+		until := time.Now().Add(within)
+		f.node.Do(f.machine.retire)
+		for f.machine.owns(Registry, f.self) && time.Now().Before(until) {
+			select {
+			case <-f.machine.moved:
+			case <-time.After(f.conf.Election / 10):
+			case <-f.node.Done():
+				until = time.Time{}
+			}
+		}
+		f.node.Yield()
+		f.node.Do(func() [][]byte { return nil }) // the hand-over has gone out to the mesh
+	}
+	if err := f.members.Stop(leaveWithin); err != nil {
+		f.log.Debug("fleet_leave", "error", err.Error())
+	}
+	f.stopVoter()
+}
+
+func (f *Fleet) stopVoter() {
+	if f.machine == nil {
+		return
+	}
+	if err := f.node.Stop(); err != nil {
+		f.log.Warn("fleet_voter_stopped", "error", err.Error())
+	}
+	f.mesh.Close()
+}
--- /dev/null
+++ b/fleet/fleet_test.go
@@ -0,0 +1,236 @@
+package fleet_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"quincerail.example/quincerail/fleet/lease"
+	"quincerail.example/quincerail/internal/fault"
+	"quincerail.example/quincerail/internal/fleettest"
+	"quincerail.example/quincerail/internal/standin"
+)
+
+var binary string
+
+func TestMain(m *testing.M) {
+	os.Exit(func() int {
+		dir, err := os.MkdirTemp("", "quincerail")
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		defer os.RemoveAll(dir)
+		if binary, err = fleettest.Build(dir); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return 1
+		}
+		return m.Run()
+	}())
+}
+
+// run is a fleet of five voters and a member that hears only.
+type run struct {
+	*fleettest.Fleet
+	t *testing.T
+}
+
+func start(t *testing.T, own map[string]map[string]any) run {
+	t.Helper()
+	f, err := fleettest.Start(fleettest.Options{Binary: binary, Dir: t.TempDir(), Seed: 16, Voters: 5, Members: 1, Own: own,
+		Example:  filepath.Join("..", "example", "config.json"),
+		Settings: map[string]any{"election_ms": 300, "lease_ms": 300, "probe_ms": 20}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		f.Close()
+		for _, v := range f.Violations() {
+			t.Error(v)
+		}
+		if t.Failed() {
+			for name := range f.Children {
+				t.Logf("%s:\n%s", name, f.Log(name))
+			}
+		}
+	})
+	return run{f, t}
+}
+
+// after waits for an act that the registry accepted under a higher token.
+func (r run) after(t lease.Token) standin.Act {
+	r.t.Helper()
+	return r.act(fmt.Sprintf("an act above %v", t), func(a standin.Act) bool { return a.Accepted && a.Token.Compare(t) > 0 })
+}
+
+func (r run) act(what string, is func(standin.Act) bool) standin.Act {
+	r.t.Helper()
+	a, err := r.AwaitAct(what, 0, is)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return a
+}
+
+func (r run) line(from int, child, event string, is func(map[string]string) bool) fleettest.Line {
+	r.t.Helper()
+	l, err := r.Await(child+"'s event "+event, from, func(l fleettest.Line) bool {
+		return l.Child == child && l.Event == event && (is == nil || is(l.Fields))
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return l
+}
+
+func (r run) signal(name string, s syscall.Signal) {
+	r.t.Helper()
+	if err := r.Signal(name, s); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// hears waits until a member's log has a token that is no lower.
+func (r run) hears(child, event string, t lease.Token) {
+	r.t.Helper()
+	r.line(0, child, event, func(f map[string]string) bool { return fleettest.ParseToken(f["token"]).Compare(t) >= 0 })
+}
+
+// TestOwnerPaused stops the owner past its lease, while an act of its is still
+// on the way, and wakes it: the act that arrives late is refused, and the old
+// owner learns that the lease has passed on. The member that votes on nothing
+// hears of it too.
+func TestOwnerPaused(t *testing.T) {
+	r := start(t, nil)
+	old := r.after(lease.Token{})
+	from := len(r.Lines())
+	r.Net.Set(fault.Rule{Delay: 4 * time.Second}, func(p *fault.Pair) bool { return p.From == old.By && p.Kind == "publish" })
+	r.line(from, old.By, "fleet_publish_failed", nil) // it gave up waiting for an act that is on the way
+	r.signal(old.By, syscall.SIGSTOP)
+	now := r.after(old.Token)
+	r.act("the late act", func(a standin.Act) bool { return a.By == old.By && a.Token == old.Token && !a.Accepted && a.Why != "" })
+	r.signal(old.By, syscall.SIGCONT)
+	r.hears(old.By, "lease", now.Token)
+	r.hears("m1", "judgement", now.Token)
+}
+
+// TestOwnerKilled kills the owner, and starts it again on its log: it is a new
+// owner then, if one at all.
+func TestOwnerKilled(t *testing.T) {
+	r := start(t, nil)
+	old := r.after(lease.Token{})
+	if err := r.Kill(old.By); err != nil {
+		t.Fatal(err)
+	}
+	now := r.after(old.Token)
+	from := len(r.Lines())
+	if err := r.Launch(old.By); err != nil {
+		t.Fatal(err)
+	}
+	r.line(from, old.By, "judgement", func(f map[string]string) bool {
+		return fleettest.ParseToken(f["token"]).Compare(now.Token) >= 0
+	})
+}
+
+// TestMinority cuts the owner and one more voter off from the others, but not
+// from the registry: the lease passes to the others' side, the cut-off side has
+// no owner until it heals, and then hears of the one there is.
+func TestMinority(t *testing.T) {
+	r := start(t, nil)
+	old := r.after(lease.Token{})
+	other := "v1"
+	if old.By == "v1" {
+		other = "v2"
+	}
+	side := func(name string) bool { return name == old.By || name == other }
+	from := len(r.Lines())
+	r.Net.Set(fault.Rule{Cut: true}, func(p *fault.Pair) bool { return p.Kind != "publish" && side(p.From) != side(p.To) })
+	now := r.act("an act of the others' side", func(a standin.Act) bool {
+		return a.Accepted && !side(a.By) && a.Token.Compare(old.Token) > 0
+	})
+	r.line(from, old.By, "lease_lapsed", nil)
+	acts, _ := r.Registry.Acts()
+	for range 30 { // of the majority's owner
+		n := len(acts)
+		if _, err := r.AwaitAct("more acts", n, func(a standin.Act) bool { return a.Accepted }); err != nil {
+			t.Fatal(err)
+		}
+		acts, _ = r.Registry.Acts()
+	}
+	for _, a := range acts {
+		if a.Accepted && a.Token.Compare(now.Token) >= 0 && side(a.By) {
+			t.Errorf("%s of the minority acted under %v", a.By, a.Token)
+		}
+	}
+	r.Net.Heal()
+	r.hears(old.By, "lease", now.Token)
+	r.hears(other, "lease", now.Token)
+	r.hears(other, "judgement", now.Token)
+}
+
+// TestOneWay has the owner hear and not be heard, and then be heard and not
+// hear: each time the lease passes on.
+func TestOneWay(t *testing.T) {
+	r := start(t, nil)
+	old := r.after(lease.Token{})
+	for _, picks := range []func(p *fault.Pair, owner string) bool{
+		func(p *fault.Pair, owner string) bool { return p.From == owner },
+		func(p *fault.Pair, owner string) bool { return p.To == owner },
+	} {
+		r.Net.Set(fault.Rule{Cut: true}, func(p *fault.Pair) bool { return p.Kind == "raft" && picks(p, old.By) })
+		now := r.act("another owner", func(a standin.Act) bool {
+			return a.Accepted && a.By != old.By && a.Token.Compare(old.Token) > 0
+		})
+		r.Net.Heal()
+		r.hears(old.By, "lease", now.Token)
+		old = now
+	}
+}
+
+// TestLossy loses, doubles, delays and reorders a share of all that passes
+// between members, and pauses and kills owners meanwhile. Clocks run as fast
+// and as slow as the bound allows, and each reads something else.
+func TestLossy(t *testing.T) {
+	r := start(t, map[string]map[string]any{"v1": {"clock_rate": 1.05}, "v2": {"clock_rate": 0.95}, "v3": {"clock_rate": 1.05}})
+	r.Net.Set(fault.Rule{Drop: 0.1, Double: 0.1, Delay: 2 * time.Millisecond, Jitter: 20 * time.Millisecond},
+		func(p *fault.Pair) bool { return p.Kind != "publish" })
+	old := r.after(lease.Token{})
+	for round := range 3 {
+		if round == 1 {
+			if err := r.Kill(old.By); err != nil {
+				t.Fatal(err)
+			}
+		} else {
+			r.signal(old.By, syscall.SIGSTOP)
+		}
+		now := r.after(old.Token)
+		if round == 1 {
+			if err := r.Launch(old.By); err != nil {
+				t.Fatal(err)
+			}
+		} else {
+			r.signal(old.By, syscall.SIGCONT)
+		}
+		old = now
+	}
+	r.hears("m1", "judgement", old.Token)
+}
+
+// TestLeaves has the owner told to leave: it gives the lease up, and another
+// owns it without waiting for a term to run out.
+func TestLeaves(t *testing.T) {
+	r := start(t, map[string]map[string]any{})
+	old := r.after(lease.Token{})
+	from := len(r.Lines())
+	r.signal(old.By, syscall.SIGTERM)
+	other := "v1"
+	if old.By == "v1" {
+		other = "v2"
+	}
+	r.line(from, other, "lease", func(f map[string]string) bool { return f["from"] == old.By && f["to"] == "" })
+	r.after(old.Token)
+	<-r.Exited(old.By)
+}
--- /dev/null
+++ b/fleet/link/link.go
@@ -0,0 +1,250 @@
+// Package link carries the voters' messages over TCP, one connection for each
+// direction of each pair. It decides nothing: a message is sent once or lost,
+// and consensus sends again what matters. Queues are bounded; one that is full
+// drops what comes.
+//
+// A connection is a row of frames, each a length of four bytes, big endian, and
+// as many bytes. The first is a hello, in JSON: who speaks, and to whom.
+package link
+
+import (
+	"bufio"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"io"
+	"log/slog"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	mostFrame   = 1 << 20
+	queued      = 256 // messages to one peer that wait
+	dialWithin  = time.Second
+	writeWithin = time.Second
+	helloWithin = 2 * time.Second
+	leastPause  = 20 * time.Millisecond // between two attempts to connect
+	mostPause   = 500 * time.Millisecond
+	mostInbound = 64 // connections
+)
+
+// Hello is the first frame of a connection.
+type Hello struct {
+	Fleet string `json:"fleet"` // two fleets never talk
+	From  string `json:"from"`
+	To    string `json:"to"`
+}
+
+// ReadFrame reads one frame; its length is bounded.
+func ReadFrame(r *bufio.Reader) ([]byte, error) {
+	var head [4]byte
+	if _, err := io.ReadFull(r, head[:]); err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	n := binary.BigEndian.Uint32(head[:])
+	if n > mostFrame {
+		return nil, fmt.Errorf("link: a frame of %d bytes, %d at most", n, mostFrame)
+	}
+	b := make([]byte, n)
+	if _, err := io.ReadFull(r, b); err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	return b, nil
+}
+
+// AppendFrame appends a frame.
+func AppendFrame(b, payload []byte) []byte {
+	return append(binary.BigEndian.AppendUint32(b, uint32(len(payload))), payload...)
+}
+
+// Options are what a mesh is made of. All but Logger are required.
+type Options struct {
+	Fleet   string
+	Self    string
+	Listen  string
+	Peers   map[string]string // name to address, of all others
+	Receive func(message []byte)
+	Logger  *slog.Logger // nil for slog.Default()
+}
+
+// Mesh is one voter's connections with all others.
+type Mesh struct {
+	opt      Options
+	log      *slog.Logger
+	listener net.Listener
+	queues   map[string]chan []byte
+	stop     chan struct{}
+	wg       sync.WaitGroup
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	sent     atomic.Int64
+	bytes    atomic.Int64
+}
+
+// Listen opens a mesh's own address, and begins to receive. Receive may be
+// called from several goroutines at once.
+func Listen(opt Options) (*Mesh, error) {
+	l, err := net.Listen("tcp", opt.Listen)
+	if err != nil {
+		return nil, fmt.Errorf("link: %w", err)
+	}
+	m := &Mesh{opt: opt, log: opt.Logger, listener: l, queues: map[string]chan []byte{},
+		stop: make(chan struct{}), conns: map[net.Conn]bool{}}
+	if m.log == nil {
+		m.log = slog.Default()
+	}
+	for name, address := range opt.Peers {
+		q := make(chan []byte, queued)
+		m.queues[name] = q
+		m.wg.Go(func() { m.speak(name, address, q) })
+	}
+	m.wg.Go(m.accept)
+	return m, nil
+}
+
+// Addr is where the mesh listens.
+func (m *Mesh) Addr() net.Addr { return m.listener.Addr() }
+
+// Sent gives how many messages and bytes were written to peers.
+func (m *Mesh) Sent() (messages, bytes int64) { return m.sent.Load(), m.bytes.Load() }
+
+// Send queues a message to a peer, and never blocks.
+func (m *Mesh) Send(to string, message []byte) {
+	select {
+	case m.queues[to] <- message: // nil, and never ready, for a name that is no peer's
+	default:
+	}
+}
+
+// Close ends all connections and waits for their goroutines.
+func (m *Mesh) Close() {
+	close(m.stop)
+	m.listener.Close()
+	m.mu.Lock()
+	for c := range m.conns {
+		c.Close()
+	}
+	m.mu.Unlock()
+	m.wg.Wait()
+}
+
+// hold notes a connection for Close; it is false where that came already.
+func (m *Mesh) hold(c net.Conn) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	select {
+	case <-m.stop:
+		return false
+	default:
+	}
+	if len(m.conns) >= mostInbound+len(m.queues) {
+		return false
+	}
+	m.conns[c] = true
+	return true
+}
+
+func (m *Mesh) drop(c net.Conn) {
+	c.Close()
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.conns, c)
+}
+
+func (m *Mesh) accept() {
+	for {
+		c, err := m.listener.Accept()
+		if err != nil {
+			select {
+			case <-m.stop:
+				return
+			case <-time.After(leastPause): // descriptors may run short for a while
+				continue
+			}
+		}
+		if !m.hold(c) {
+			c.Close()
+			continue
+		}
+		m.wg.Go(func() {
+			defer m.drop(c)
+			m.hear(c)
+		})
+	}
+}
+
+func (m *Mesh) hear(c net.Conn) {
+	c.SetReadDeadline(time.Now().Add(helloWithin))
+	r := bufio.NewReader(c)
+	first, err := ReadFrame(r)
+	if err != nil {
+		return
+	}
+	var h Hello
+	if err := json.Unmarshal(first, &h); err != nil || h.Fleet != m.opt.Fleet || h.To != m.opt.Self || m.queues[h.From] == nil {
+		m.log.Warn("fleet_hello_refused", "fleet", h.Fleet, "from", h.From, "to", h.To)
+		return
+	}
+	c.SetReadDeadline(time.Time{})
+	for {
+		b, err := ReadFrame(r)
+		if err != nil {
+			return
+		}
+		m.opt.Receive(b)
+	}
+}
+
+// speak keeps a connection to a peer while there is something to say.
+func (m *Mesh) speak(name, address string, q chan []byte) {
+	hello, err := json.Marshal(Hello{m.opt.Fleet, m.opt.Self, name})
+	if err != nil {
+		panic(err) // three strings
+	}
+	pause := leastPause
+	var c net.Conn
+	defer func() {
+		if c != nil {
+			m.drop(c)
+		}
+	}()
+	for {
+		var b []byte
+		select {
+		case <-m.stop:
+			return
+		case b = <-q:
+		}
+		if c == nil {
+			if c, err = net.DialTimeout("tcp", address, dialWithin); err == nil && !m.hold(c) {
+				c.Close()
+				return
+			}
+			if err != nil {
+				c = nil
+				select {
+				case <-m.stop:
+					return
+				case <-time.After(pause):
+				}
+				pause = min(2*pause, mostPause)
+				continue // the message is lost
+			}
+			pause = leastPause
+			b = append(AppendFrame(nil, hello), AppendFrame(nil, b)...)
+		} else {
+			b = AppendFrame(nil, b)
+		}
+		c.SetWriteDeadline(time.Now().Add(writeWithin))
+		if _, err := c.Write(b); err != nil {
+			m.drop(c)
+			c = nil
+			continue
+		}
+		m.sent.Add(1)
+		m.bytes.Add(int64(len(b)))
+	}
+}
--- /dev/null
+++ b/internal/fleettest/fleettest.go
@@ -0,0 +1,392 @@
+// Package fleettest starts several processes of the program for a test, with a
+// proxy of package fault in each direction between them, pauses, kills and
+// restarts them by their own process ids, and follows their logs.
+package fleettest
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"maps"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"quincerail.example/quincerail/fleet/lease"
+	"quincerail.example/quincerail/internal/fault"
+	"quincerail.example/quincerail/internal/standin"
+)
+
+// Build builds the program into a folder, and gives its path.
+func Build(dir string) (string, error) {
+	path := filepath.Join(dir, "quincerail")
+	out, err := exec.Command("go", "build", "-buildvcs=false", "-o", path, "quincerail.example/quincerail/cmd/quincerail").CombinedOutput()
+	if err != nil {
+		return "", fmt.Errorf("fleettest: %w: %s", err, out)
+	}
+	return path, nil
+}
+
+// Options are what a fleet is made of.
+type Options struct {
+	Binary  string // of Build
+	Dir     string // for files of the fleet's own
+	Example string // path of example/config.json
+	Seed    uint64
+	Voters  int // named v1, v2, ...
+	Members int // that hear only, named m1, m2, ...
+	// Settings are lines of the operator's file in its part [fleet], for all.
+	Settings map[string]any
+	// Own are such lines of one member, by name.
+	Own map[string]map[string]any
+	// Direct has plain members join the voters, and be reached, without proxies:
+	// for measurements with hundreds of members.
+	Direct bool
+	Within time.Duration // until Await gives up; 0 for 30 s
+}
+
+// Line is one line of a child's log.
+type Line struct {
+	Child  string
+	Event  string
+	Fields map[string]string
+	At     time.Time // when it was read
+	Text   string
+}
+
+// Child is one process, or the place of one that has ended.
+type Child struct {
+	Name   string
+	cmd    *exec.Cmd
+	exited chan struct{}
+	args   []string
+	config string
+}
+
+// Fleet is the processes of a test.
+type Fleet struct {
+	Net      *fault.Net
+	Registry *standin.Registry
+	Children map[string]*Child
+
+	opt     Options
+	gossip  map[string]string // where members hear the others
+	mu      sync.Mutex
+	lines   []Line
+	changed chan struct{}
+}
+
+// Start starts all members, and returns once each says where it listens.
+func Start(opt Options) (*Fleet, error) {
+	f := &Fleet{Net: fault.NewNet(opt.Seed), Children: map[string]*Child{}, opt: opt, gossip: map[string]string{}, changed: make(chan struct{})}
+	if f.opt.Within == 0 {
+		f.opt.Within = 30 * time.Second
+	}
+	var err error
+	if f.Registry, err = standin.NewRegistry("127.0.0.1:0"); err != nil {
+		return nil, fmt.Errorf("fleettest: %w", err)
+	}
+	var voters, all []string
+	for i := range opt.Voters {
+		voters = append(voters, fmt.Sprint("v", i+1))
+	}
+	all = append(all, voters...)
+	for i := range opt.Members {
+		all = append(all, fmt.Sprint("m", i+1))
+	}
+	proxied := all
+	if opt.Direct {
+		proxied = voters
+	}
+	err = f.launch(proxied, func(name string) error { return f.prepare(name, voters, proxied) })
+	if err == nil && opt.Direct {
+		err = f.launch(all[len(voters):], func(name string) error { return f.prepare(name, nil, voters) })
+	}
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// launch prepares some members, and then starts them.
+func (f *Fleet) launch(names []string, prepare func(string) error) error {
+	for _, name := range names {
+		if err := prepare(name); err != nil {
+			return err
+		}
+	}
+	f.Net.Target("registry", "publish", f.Registry.Addr())
+	for _, name := range names {
+		if err := f.Launch(name); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// prepare writes a member's files.
+func (f *Fleet) prepare(name string, voters, all []string) error {
+	dir := filepath.Join(f.opt.Dir, name)
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return fmt.Errorf("fleettest: %w", err)
+	}
+	text, err := os.ReadFile(f.opt.Example)
+	if err != nil {
+		return fmt.Errorf("fleettest: %w", err)
+	}
+	config := map[string]any{}
+	if err := json.Unmarshal(text, &config); err != nil {
+		return fmt.Errorf("fleettest: %w", err)
+	}
+	delete(config, "control")
+	config["name"], config["listen"], config["ledger"] = name, "127.0.0.1:0", f.Registry.Addr()
+	via := func(kind string, framed bool, to []string) (map[string]string, error) {
+		out := map[string]string{}
+		for _, peer := range to {
+			if peer == name {
+				out[peer] = "127.0.0.1:1" // nobody dials itself
+				continue
+			}
+			if f.opt.Direct && strings.HasPrefix(name, "m") {
+				out[peer] = f.gossip[peer]
+				continue
+			}
+			p, err := f.Net.Open(name, peer, kind, framed)
+			if err != nil {
+				return nil, err
+			}
+			out[peer] = p.Addr()
+		}
+		return out, nil
+	}
+	publish, err := f.Net.Open(name, "registry", "publish", false)
+	if err != nil {
+		return err
+	}
+	fleet := map[string]any{"role": "member", "gossip": "127.0.0.1:0", "publish": "http://" + publish.Addr() + "/judgement"}
+	if fleet["seeds"], err = via("gossip", false, all); err != nil {
+		return err
+	}
+	if strings.HasPrefix(name, "v") {
+		fleet["role"], fleet["raft"], fleet["dir"] = "voter", "127.0.0.1:0", filepath.Join(dir, "log")
+		if fleet["voters"], err = via("raft", true, voters); err != nil {
+			return err
+		}
+	}
+	maps.Copy(fleet, f.opt.Settings)
+	maps.Copy(fleet, f.opt.Own[name])
+	c := &Child{Name: name, config: filepath.Join(dir, "config.json")}
+	operator := filepath.Join(dir, "operator.cue") // JSON is CUE
+	for path, v := range map[string]any{c.config: config, operator: map[string]any{"fleet": fleet,
+		"metrics": map[string]any{"listen": "127.0.0.1:0"}, "log": map[string]any{"repeats": 0}}} {
+		b, err := json.Marshal(v)
+		if err != nil {
+			return fmt.Errorf("fleettest: %w", err)
+		}
+		if err := os.WriteFile(path, b, 0o600); err != nil {
+			return fmt.Errorf("fleettest: %w", err)
+		}
+	}
+	c.args = []string{"serve", "--operator", operator}
+	f.Children[name] = c
+	return nil
+}
+
+// Launch starts a member's process, anew after it has ended, and returns once
+// it says where it listens.
+func (f *Fleet) Launch(name string) error {
+	c := f.Children[name]
+	f.mu.Lock()
+	from := len(f.lines)
+	f.mu.Unlock()
+	c.cmd = exec.Command(f.opt.Binary, c.args...)
+	c.cmd.Env = append(os.Environ(), "GW_CONFIG="+c.config)
+	c.exited = make(chan struct{})
+	stderr, err := c.cmd.StderrPipe()
+	if err != nil {
+		return fmt.Errorf("fleettest: %w", err)
+	}
+	if err := c.cmd.Start(); err != nil {
+		return fmt.Errorf("fleettest: %w", err)
+	}
+	cmd, exited := c.cmd, c.exited
+	go func() {
+		for s := bufio.NewScanner(stderr); s.Scan(); {
+			f.take(name, s.Text())
+		}
+		cmd.Wait()
+		f.take(name, "event=exited")
+		close(exited)
+	}()
+	l, err := f.Await("where "+name+" listens", from, func(l Line) bool {
+		return l.Child == name && (l.Event == "fleet" || l.Event == "exited")
+	})
+	if err != nil {
+		return err
+	}
+	if l.Event == "exited" {
+		return fmt.Errorf("fleettest: %s ended at its start: %s", name, f.Log(name))
+	}
+	f.Net.Target(name, "raft", l.Fields["raft"])
+	f.Net.Target(name, "gossip", l.Fields["gossip"])
+	f.gossip[name] = l.Fields["gossip"]
+	return nil
+}
+
+var field = regexp.MustCompile(`(\w+)=("(?:[^"\\]|\\.)*"|\S*)`)
+
+func (f *Fleet) take(child, text string) {
+	l := Line{Child: child, Fields: map[string]string{}, At: time.Now(), Text: text}
+	for _, m := range field.FindAllStringSubmatch(text, -1) {
+		l.Fields[m[1]] = strings.Trim(m[2], `"`)
+	}
+	l.Event = l.Fields["event"]
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.lines = append(f.lines, l)
+	close(f.changed)
+	f.changed = make(chan struct{})
+}
+
+// Lines gives all lines of the logs so far, in the order in which they were read.
+func (f *Fleet) Lines() []Line {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.lines[:len(f.lines):len(f.lines)]
+}
+
+// Log gives the text of one child's log.
+func (f *Fleet) Log(name string) string {
+	var b strings.Builder
+	for _, l := range f.Lines() {
+		if l.Child == name {
+			fmt.Fprintln(&b, l.Text)
+		}
+	}
+	return b.String()
+}
+
+// Await waits for a line from a place of Lines on, and gives it. The error
+// names what was waited for, when that takes too long.
+func (f *Fleet) Await(what string, from int, is func(Line) bool) (Line, error) {
+	deadline := time.After(f.opt.Within)
+	for {
+		f.mu.Lock()
+		lines, changed := f.lines, f.changed
+		f.mu.Unlock()
+		for ; from < len(lines); from++ {
+			if is(lines[from]) {
+				return lines[from], nil
+			}
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return Line{}, fmt.Errorf("fleettest: %s did not come within %v", what, f.opt.Within)
+		}
+	}
+}
+
+// AwaitAct waits for a piece of fleet work that the registry was handed, from a
+// place of its Acts on.
+func (f *Fleet) AwaitAct(what string, from int, is func(standin.Act) bool) (standin.Act, error) {
+	deadline := time.After(f.opt.Within)
+	for {
+		acts, changed := f.Registry.Acts()
+		for ; from < len(acts); from++ {
+			if is(acts[from]) {
+				return acts[from], nil
+			}
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			return standin.Act{}, fmt.Errorf("fleettest: %s did not come within %v", what, f.opt.Within)
+		}
+	}
+}
+
+// Violations gives what must not be: an act accepted at the registry under a
+// lower token than one before it, one token acted under by two members, or a
+// member's log in which the tokens of judgements go down within one life of
+// its process.
+func (f *Fleet) Violations() (out []string) {
+	acts, _ := f.Registry.Acts()
+	var high lease.Token
+	owner := map[lease.Token]string{}
+	for _, a := range acts {
+		if !a.Accepted {
+			continue
+		}
+		if a.Token.Compare(high) < 0 {
+			out = append(out, fmt.Sprintf("the registry accepted %v of %s after %v", a.Token, a.By, high))
+		}
+		high = a.Token
+		if by, ok := owner[a.Token]; ok && by != a.By {
+			out = append(out, fmt.Sprintf("%s and %s acted under %v", by, a.By, a.Token))
+		}
+		owner[a.Token] = a.By
+	}
+	seen := map[string]lease.Token{}
+	for _, l := range f.Lines() {
+		switch l.Event {
+		case "fleet":
+			delete(seen, l.Child)
+		case "judgement":
+			t := ParseToken(l.Fields["token"])
+			if t.Compare(seen[l.Child]) < 0 {
+				out = append(out, fmt.Sprintf("%s took %v in after %v", l.Child, t, seen[l.Child]))
+			}
+			seen[l.Child] = t
+		}
+	}
+	return out
+}
+
+// ParseToken reads a token as logs show it; the zero token if it is none.
+func ParseToken(s string) (t lease.Token) {
+	fmt.Sscanf(s, "%d.%d", &t.Term, &t.Index)
+	return t
+}
+
+// Signal sends a signal to a member's process.
+func (f *Fleet) Signal(name string, s syscall.Signal) error {
+	if err := f.Children[name].cmd.Process.Signal(s); err != nil {
+		return fmt.Errorf("fleettest: %s: %w", name, err)
+	}
+	return nil
+}
+
+// Kill ends a member's process at once, and waits for that.
+func (f *Fleet) Kill(name string) error {
+	if err := f.Signal(name, syscall.SIGKILL); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		return err
+	}
+	<-f.Children[name].exited
+	return nil
+}
+
+// Pid is the id of a member's process.
+func (f *Fleet) Pid(name string) int { return f.Children[name].cmd.Process.Pid }
+
+// Exited is closed when a member's process has ended.
+func (f *Fleet) Exited(name string) <-chan struct{} { return f.Children[name].exited }
+
+// Close kills all processes and ends what stands around them.
+func (f *Fleet) Close() {
+	for _, c := range f.Children {
+		if c.cmd != nil && c.cmd.Process != nil {
+			c.cmd.Process.Kill()
+			<-c.exited
+		}
+	}
+	f.Net.Close()
+	f.Registry.Close()
+}
--- /dev/null
+++ b/internal/standin/registry.go
@@ -0,0 +1,87 @@
+package standin
+
+import (
+	"encoding/json"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"quincerail.example/quincerail/fleet/lease"
+)
+
+// Act is a piece of fleet work that a receiver was handed.
+type Act struct {
+	Lease    string
+	Token    lease.Token
+	By       string
+	At       time.Time
+	Accepted bool
+	Why      string // of a refusal
+}
+
+// Registry stands in for the operator's registry, a receiver of fleet work: an
+// HTTP server that takes judgements (PUT, a JSON body) and refuses those whose
+// token is lower than one it has seen, with 409 and the reason.
+type Registry struct {
+	server *http.Server
+	addr   string
+	fence  lease.Fence
+
+	mu      sync.Mutex
+	acts    []Act
+	changed chan struct{} // closed and made anew at each act
+}
+
+// NewRegistry starts a registry.
+func NewRegistry(address string) (*Registry, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	r := &Registry{addr: l.Addr().String(), changed: make(chan struct{})}
+	r.server = &http.Server{Handler: r, ReadHeaderTimeout: 10 * time.Second}
+	go r.server.Serve(l)
+	return r, nil
+}
+
+// Addr is where it listens.
+func (r *Registry) Addr() string { return r.addr }
+
+// Close ends it.
+func (r *Registry) Close() { r.server.Close() }
+
+// ServeHTTP implements http.Handler.
+func (r *Registry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
+	var j struct {
+		Lease string      `json:"lease"`
+		Token lease.Token `json:"token"`
+		By    string      `json:"by"`
+	}
+	if err := json.NewDecoder(http.MaxBytesReader(w, req.Body, 1<<16)).Decode(&j); err != nil || req.Method != http.MethodPut {
+		http.Error(w, "a judgement wanted", http.StatusBadRequest)
+		return
+	}
+	a := Act{Lease: j.Lease, Token: j.Token, By: j.By, At: time.Now(), Accepted: true}
+	r.mu.Lock() // what it records is in the order in which the fence saw it
+	if err := r.fence.Admit(j.Lease, j.Token); err != nil {
+		a.Accepted, a.Why = false, err.Error()
+	}
+	r.acts = append(r.acts, a)
+	close(r.changed)
+	r.changed = make(chan struct{})
+	r.mu.Unlock()
+	if !a.Accepted {
+		http.Error(w, a.Why, http.StatusConflict)
+		return
+	}
+	w.WriteHeader(http.StatusNoContent)
+}
+
+// Acts gives what it was handed so far, in order, and a channel that is closed
+// when there is more.
+func (r *Registry) Acts() ([]Act, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.acts[:len(r.acts):len(r.acts)], r.changed
+}
--- a/program/config.go
+++ b/program/config.go
@@ -14,6 +14,7 @@
 	"github.com/tidwall/gjson"
 
 	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/fleet"
 	"quincerail.example/quincerail/internal/wire"
 	"quincerail.example/quincerail/match"
 )
@@ -31,12 +32,13 @@
 	Sockets                     int
 	Classes                     []string
 	Settings                    decision.Settings
-	Gauges                      []string     // names, in the order in which the processor gives them
-	Rules                       *match.Set   // of the operator's rule file, where there is one; nil for none
-	KeysDir                     string       // where the keys that ran outlive the process; "" keeps them in memory
-	KeysSync                    string       // always or never, as store.Sync; "" for always
-	Logger                      *slog.Logger // nil for slog.Default()
-	MetricsListen               string       // the operator's listener for /metrics; "" for none
+	Gauges                      []string      // names, in the order in which the processor gives them
+	Rules                       *match.Set    // of the operator's rule file, where there is one; nil for none
+	KeysDir                     string        // where the keys that ran outlive the process; "" keeps them in memory
+	KeysSync                    string        // always or never, as store.Sync; "" for always
+	Logger                      *slog.Logger  // nil for slog.Default()
+	MetricsListen               string        // the operator's listener for /metrics; "" for none
+	Fleet                       *fleet.Config // what this process does in its fleet; nil for nothing
 	text                        string
 }
 
--- a/program/metrics.go
+++ b/program/metrics.go
@@ -11,6 +11,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"quincerail.example/quincerail/fleet"
 	"quincerail.example/quincerail/routing"
 )
 
@@ -25,6 +26,10 @@
 //	quincerail_repeats_total{class}         of those served, the ones with another try's result
 //	quincerail_answer_seconds{class,kind}   from a request's coming to its answer
 //	quincerail_open_requests                handed in and not answered yet: held, waiting and running
+//	quincerail_fleet_alive                  members of the fleet that are thought to be alive
+//	quincerail_fleet_owner                  1 while this process owns the lease on the registry's judgement
+//	quincerail_fleet_messages_total         sent to other members; quincerail_fleet_bytes_total likewise
+//	quincerail_fleet_stale_total            pieces of fleet work refused for their token
 type metrics struct {
 	core     atomic.Pointer[routing.Core] // whose open requests are counted, once there is one
 	registry *prometheus.Registry
@@ -54,6 +59,32 @@
 	return m
 }
 
+// watchFleet adds the counts of a fleet's member.
+func (m *metrics) watchFleet(f *fleet.Fleet) {
+	gauge := func(name, help string, of func(fleet.Stats) float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, func() float64 { return of(f.Stats()) })
+	}
+	count := func(name, help string, of func(fleet.Stats) float64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{Name: name, Help: help}, func() float64 { return of(f.Stats()) })
+	}
+	m.registry.MustRegister(
+		gauge("quincerail_fleet_alive", "Members of the fleet that are thought to be alive.",
+			func(s fleet.Stats) float64 { return float64(s.Alive) }),
+		gauge("quincerail_fleet_owner", "1 while this process owns the lease on the registry's judgement.",
+			func(s fleet.Stats) float64 {
+				if s.Owner {
+					return 1
+				}
+				return 0
+			}),
+		count("quincerail_fleet_messages_total", "Messages sent to other members.",
+			func(s fleet.Stats) float64 { return float64(s.Messages) }),
+		count("quincerail_fleet_bytes_total", "Bytes sent to other members.",
+			func(s fleet.Stats) float64 { return float64(s.Bytes) }),
+		count("quincerail_fleet_stale_total", "Pieces of fleet work refused for their token.",
+			func(s fleet.Stats) float64 { return float64(s.Stale) }))
+}
+
 // Answered implements routing.Observer.
 func (m *metrics) Answered(class string, kind routing.Kind, took time.Duration, repeat bool) {
 	name := kindNames[kind]
--- a/program/operator.cue
+++ b/program/operator.cue
@@ -22,14 +22,56 @@
 	}
 	metrics: {
 		// The address of the operator's own listener for /metrics; "" for off.
-		listen: *"" | =~"^[0-9A-Za-z.\\[\\]:-]*:[0-9]{1,5}$"
+		listen: *"" | #address
+	}
+	// Talk among instances (docs/fleet.md); off where the platform gives one
+	// listener and no talk.
+	fleet: {
+		role: *"off" | "voter" | "member"
+		// Two fleets of different names never talk.
+		name: *"quincerail" | =~"^[0-9A-Za-z._-]{1,64}$"
+		// Where a voter hears the other voters, and every member the others.
+		raft:   *"" | #address
+		gossip: *"" | #address
+		// The folder of a voter's log; a disk that lasts.
+		dir: *"" | string
+		// All voters, this one too, and the members to join by: name to address.
+		voters: [string]: #address
+		seeds: [string]:  #address
+		// Without word from a leader for so long, a voter stands for election.
+		election_ms: *1000 | (int & >=50 & <=60000)
+		// How long a lease lasts unless it is renewed.
+		lease_ms: *1000 | (int & >=50 & <=600000)
+		// Most that a member's clock runs fast or slow by, as a share.
+		drift: *0.05 | (number & >=0 & <=0.2)
+		// The owner probes the shared dependency so often, finds it slow beyond
+		// slow_ms, and puts what it finds to a URL; "" for the members only.
+		probe_ms: *500 | (int & >=10 & <=60000)
+		slow_ms:  *100 | (int & >=1 & <=60000)
+		publish:  *"" | =~"^http://"
+		// For drills: this member's lease clock runs at such a rate.
+		clock_rate: *1.0 | (number & >=0.5 & <=2)
 	}
 
 	// Each of these is valid alone, and dangerous with the other.
-	if log.level == "debug" && log.repeats > 100 {
+	if log.level == "debug" && (log.repeats > 100 || log.repeats == 0) {
 		log: repeats: error("debug writes a line for each request: more than 100 repeats a second would flood the log at full load")
 	}
+	if fleet.role != "off" && fleet.gossip == "" {
+		fleet: gossip: error("a member of a fleet needs an address where it hears the others")
+	}
+	if fleet.role == "voter" && (fleet.raft == "" || fleet.dir == "") {
+		fleet: role: error("a voter needs raft, an address, and dir, a folder that lasts")
+	}
+	if fleet.role != "voter" && len(fleet.voters) > 0 {
+		fleet: voters: error("only a voter talks to the voters")
+	}
+	if fleet.lease_ms*2 < fleet.election_ms {
+		fleet: lease_ms: error("shorter than half of election_ms, the lease would run out at each change of leaders")
+	}
 	if keys.sync == "never" && keys.dir == "" {
 		keys: sync: error("sync says how the folder of keys is written, and there is none")
 	}
 }
+
+#address: =~"^[0-9A-Za-z.\\[\\]:-]*:[0-9]{1,5}$"
--- a/program/operator.go
+++ b/program/operator.go
@@ -7,11 +7,14 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"time"
 
 	"cuelang.org/go/cue"
 	"cuelang.org/go/cue/cuecontext"
 	cueerrors "cuelang.org/go/cue/errors"
 	"github.com/BurntSushi/toml"
+
+	"quincerail.example/quincerail/fleet"
 )
 
 // operatorSchema is the CUE schema of the operator's file.
@@ -37,6 +40,36 @@
 	Metrics struct {
 		Listen string `json:"listen"`
 	} `json:"metrics"`
+	Fleet struct {
+		Role      string            `json:"role"`
+		Name      string            `json:"name"`
+		Raft      string            `json:"raft"`
+		Gossip    string            `json:"gossip"`
+		Dir       string            `json:"dir"`
+		Voters    map[string]string `json:"voters"`
+		Seeds     map[string]string `json:"seeds"`
+		Election  int               `json:"election_ms"`
+		Lease     int               `json:"lease_ms"`
+		Drift     float64           `json:"drift"`
+		Probe     int               `json:"probe_ms"`
+		Slow      int               `json:"slow_ms"`
+		Publish   string            `json:"publish"`
+		ClockRate float64           `json:"clock_rate"`
+	} `json:"fleet"`
+}
+
+// FleetOf gives what a process with this configuration is to do in its fleet;
+// nil where the operator's file leaves it off. The error names the key at fault.
+func (o *Operator) FleetOf(c *Config) (*fleet.Config, error) {
+	x := &o.Fleet
+	if fleet.Role(x.Role) == fleet.Off {
+		return nil, nil
+	}
+	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
+	f := &fleet.Config{Fleet: x.Name, Self: c.Name, Role: fleet.Role(x.Role), Raft: x.Raft, Gossip: x.Gossip, Dir: x.Dir,
+		Voters: x.Voters, Seeds: x.Seeds, Election: ms(x.Election), Term: ms(x.Lease), Drift: x.Drift, ClockRate: x.ClockRate,
+		Probe: c.Ledger, ProbeEvery: ms(x.Probe), Slow: ms(x.Slow), Publish: x.Publish, Logger: c.Logger}
+	return f, f.Validate()
 }
 
 // OperatorError names every problem of an operator's file: a path and why, and
--- a/program/program.go
+++ b/program/program.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/fleet"
 	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/store"
@@ -20,16 +21,17 @@
 )
 
 const (
-	leaveWithin = time.Second            // after leaving was said, until an idle connection is closed
-	sweepLeast  = 20 * time.Millisecond  // between two looks for idle connections
-	sweepMost   = 500 * time.Millisecond // likewise
-	leaveAgain  = 100 * time.Millisecond // between two looks whom to take leave of, when another takes over
-	exitMargin  = 120 * time.Millisecond // before the kill, when all has been answered
-	heapShare   = 0.75                   // of the memory is for the heap
-	keysShare   = 8                      // one part in so many of the memory is for kept results
-	frontShare  = 0.625                  // of the descriptors: balancers keep to a half, others don't
-	besideShare = 0.375                  // likewise while a process is still there that this one takes over from
-	uwsgiShare  = 0.125                  // likewise for the uwsgi front, where a backend connection comes with each
+	leaveWithin      = time.Second            // after leaving was said, until an idle connection is closed
+	sweepLeast       = 20 * time.Millisecond  // between two looks for idle connections
+	sweepMost        = 500 * time.Millisecond // likewise
+	leaveAgain       = 100 * time.Millisecond // between two looks whom to take leave of, when another takes over
+	leaveFleetWithin = time.Second            // for giving up what this process owns there
+	exitMargin       = 120 * time.Millisecond // before the kill, when all has been answered
+	heapShare        = 0.75                   // of the memory is for the heap
+	keysShare        = 8                      // one part in so many of the memory is for kept results
+	frontShare       = 0.625                  // of the descriptors: balancers keep to a half, others don't
+	besideShare      = 0.375                  // likewise while a process is still there that this one takes over from
+	uwsgiShare       = 0.125                  // likewise for the uwsgi front, where a backend connection comes with each
 )
 
 // idleLimit holds how long connections may idle.
@@ -71,6 +73,7 @@
 	log         *slog.Logger
 	metrics     *http.Server // the operator's /metrics; nil where there is none
 	metricsAddr net.Addr
+	fleet       *fleet.Fleet // nil where there is none
 	serving     atomic.Bool
 	quiet       context.CancelFunc // ends the reports
 	stop        context.CancelFunc
@@ -150,6 +153,18 @@
 			return nil, fmt.Errorf("metrics: %w", err)
 		}
 	}
+	if c.Fleet != nil {
+		if s.fleet, err = fleet.Start(*c.Fleet); err != nil {
+			for _, d := range s.doors {
+				d.server.Close()
+			}
+			s.closeMetrics()
+			return nil, err
+		}
+		if watch != nil {
+			watch.watchFleet(s.fleet)
+		}
+	}
 	if s.control != nil {
 		go s.control.Run()
 	}
@@ -300,6 +315,7 @@
 // have closed their connections, or just before the process is killed.
 func (s *Server) Drain() {
 	defer s.closeMetrics()
+	defer s.leaveFleet()()
 	defer s.closeKeys() // once the core has stopped
 	defer s.stop()
 	if s.handover != nil {
@@ -341,6 +357,20 @@
 	s.log.Info("stopped", "connections", "closed")
 }
 
+// leaveFleet gives up what this process owns in its fleet at once, and gives
+// what waits for that.
+func (s *Server) leaveFleet() (wait func()) {
+	if s.fleet == nil {
+		return func() {}
+	}
+	left := make(chan struct{})
+	go func() {
+		s.fleet.Stop(leaveFleetWithin)
+		close(left)
+	}()
+	return func() { <-left }
+}
+
 func (s *Server) closeMetrics() {
 	if s.metrics != nil {
 		s.metrics.Close()
