--- a/fleet/consensus/log.go
+++ b/fleet/consensus/log.go
@@ -54,7 +54,10 @@
 	first := &raftpb.Snapshot{Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1),
 		ConfState: &raftpb.ConfState{Voters: voters}}}
 	state, known := rec.Values[stateKey]
-	if !known {
+	if !known { // whose log it is, is kept ahead of all else
+		if err := l.put(snapshotKey, nil, first, nil); err != nil {
+			return nil, err
+		}
 		return l, l.mem.ApplySnapshot(first)
 	}
 	if len(state.Bytes) < lengthPrefix {
@@ -64,10 +67,12 @@
 	if err := proto.Unmarshal(state.Bytes[lengthPrefix:], l.hard); err != nil {
 		return nil, fmt.Errorf("consensus: state: %w", err)
 	}
-	if v, ok := rec.Values[snapshotKey]; ok {
-		if err := proto.Unmarshal(v.Bytes, first); err != nil {
-			return nil, fmt.Errorf("consensus: snapshot: %w", err)
-		}
+	snap, ok := rec.Values[snapshotKey]
+	if !ok {
+		return nil, fmt.Errorf("%w: its snapshot", ErrDamaged)
+	}
+	if err := proto.Unmarshal(snap.Bytes, first); err != nil {
+		return nil, fmt.Errorf("consensus: snapshot: %w", err)
 	}
 	if err := l.mem.ApplySnapshot(first); err != nil {
 		return nil, fmt.Errorf("consensus: snapshot: %w", err)
