--- a/fleet/lease/lease_test.go
+++ b/fleet/lease/lease_test.go
@@ -47,6 +47,9 @@
 	if _, ok := a.Holds("probe", 950*time.Millisecond); ok {
 		t.Error("the owner holds beyond the term less the drift")
 	}
+	if cs := a.Tick(240*time.Millisecond, true); len(cs) != 0 {
+		t.Errorf("renews ahead of time: %v", cs)
+	}
 	if cs := commit(300*time.Millisecond, a.Tick(300*time.Millisecond, false)); cs != nil {
 		t.Errorf("a renewal moved the lease: %v", cs)
 	}
@@ -77,6 +80,24 @@
 	}
 }
 
+// TestRestore has a member that catches up by a snapshot hear of the moves in
+// it, stop holding what has passed on, and wait a whole term for the owner.
+func TestRestore(t *testing.T) {
+	a, b := newMember(t, "a"), newMember(t, "b")
+	a.Applied(a.Tick(0, true)[0], Token{1, 1}, 0)
+	b.Applied(Command{Kind: Take, Lease: "probe", By: Owner{"b", 1}, Nonce: 9}, Token{2, 5}, 0)
+	moves := a.Restore(*b.Table(), 500*time.Millisecond)
+	if !slices.Equal(moves, []Move{{"probe", Owner{"a", 1}, Owner{"b", 1}, Token{2, 5}}}) {
+		t.Errorf("moves: %v", moves)
+	}
+	if _, ok := a.Holds("probe", 500*time.Millisecond); ok {
+		t.Error("holds what has passed on")
+	}
+	if len(a.Tick(1540*time.Millisecond, true)) != 0 || len(a.Tick(1550*time.Millisecond, true)) != 1 {
+		t.Error("does not ask a term and the drift after the snapshot")
+	}
+}
+
 // TestTables has two voters hold the same table after the same log, one of them
 // by way of a snapshot in its middle, whatever the commands (seeded).
 func TestTables(t *testing.T) {
--- a/fleet/lease/member.go
+++ b/fleet/lease/member.go
@@ -81,15 +81,23 @@
 	return &Member{self: self, timing: timing, wanted: slices.Clone(wanted), states: make(map[string]state)}, nil
 }
 
-// Restore takes over a snapshot's table at a time. Its grants count as applied
-// at that time, so that they are waited out in full.
-func (m *Member) Restore(t Table, now time.Duration) {
+// Restore takes over a snapshot's table at a time, and gives what moved by it.
+// Its grants count as applied at that time, so that they are waited out in full.
+func (m *Member) Restore(t Table, now time.Duration) (moves []Move) {
+	was := m.table
 	m.table = t
 	for _, name := range t.Leases() {
-		s := m.states[name]
+		g, s := t.Grant(name), m.states[name]
 		s.seen = now
+		if g.Owner != m.self {
+			s.until = 0
+		}
 		m.states[name] = s
+		if old := was.Grant(name); old.Token != g.Token || old.Owner != g.Owner {
+			moves = append(moves, Move{Lease: name, From: old.Owner, To: g.Owner, Token: g.Token})
+		}
 	}
+	return moves
 }
 
 // Table is the member's copy of the grants, for a snapshot; it must not be changed.
@@ -109,7 +117,9 @@
 		switch {
 		case m.retired:
 		case g.Owner == m.self && now < s.until:
-			out = append(out, m.command(Renew, name, now))
+			if now >= s.until-m.timing.stop()+m.timing.Renew { // since the command that it holds by was sent
+				out = append(out, m.command(Renew, name, now))
+			}
 		case ask && (g.Free() || now >= s.seen+m.timing.wait()): // also what it held itself
 			out = append(out, m.command(Take, name, now))
 		}
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -198,53 +198,71 @@
 	}
 }
 
-// speak keeps a connection to a peer while there is something to say.
+// speak sends a peer what is queued for it. A connection that the peer ended
+// is noticed at once: voters that don't lead say nothing to each other between
+// elections, and a vote asked for on a connection that is long dead is lost.
 func (m *Mesh) speak(name, address string, q chan []byte) {
 	hello, err := json.Marshal(Hello{m.opt.Fleet, m.opt.Self, name})
 	if err != nil {
 		panic(err) // three strings
 	}
-	pause := leastPause
 	var c net.Conn
-	defer func() {
+	var ended chan struct{}
+	hangUp := func() {
 		if c != nil {
 			m.drop(c)
+			c, ended = nil, nil
 		}
-	}()
+	}
+	defer hangUp()
+	pause := leastPause
 	for {
 		var b []byte
 		select {
 		case <-m.stop:
 			return
+		case <-ended:
+			hangUp()
+			continue
 		case b = <-q:
 		}
 		if c == nil {
-			if c, err = net.DialTimeout("tcp", address, dialWithin); err == nil && !m.hold(c) {
-				c.Close()
-				return
-			}
+			c, err = net.DialTimeout("tcp", address, dialWithin)
 			if err != nil {
 				c = nil
-				select {
+				select { // the message is lost, and what comes meanwhile waits
 				case <-m.stop:
 					return
 				case <-time.After(pause):
 				}
 				pause = min(2*pause, mostPause)
-				continue // the message is lost
+				continue
 			}
-			pause = leastPause
+			if !m.hold(c) {
+				c.Close()
+				return
+			}
+			pause, ended = leastPause, make(chan struct{})
+			m.wg.Go(watch(c, ended))
 			b = append(AppendFrame(nil, hello), AppendFrame(nil, b)...)
 		} else {
 			b = AppendFrame(nil, b)
 		}
 		c.SetWriteDeadline(time.Now().Add(writeWithin))
 		if _, err := c.Write(b); err != nil {
-			m.drop(c)
-			c = nil
+			hangUp()
 			continue
 		}
 		m.sent.Add(1)
 		m.bytes.Add(int64(len(b)))
 	}
 }
+
+// watch gives what closes ended when the peer ends the connection: it says
+// nothing back, so a read returns only then.
+func watch(c net.Conn, ended chan struct{}) func() {
+	return func() {
+		io.Copy(io.Discard, c)
+		close(ended)
+	}
+}
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -32,9 +32,14 @@
 	m.mu.Lock()
 	move := m.member.Applied(c, lease.Token{Term: term, Index: index}, m.clock())
 	m.mu.Unlock()
-	if move == nil {
-		return
+	if move != nil {
+		m.tell(*move)
 	}
+}
+
+// tell says that a lease changed owners: to the log, to the fence, which so
+// knows of a grant ahead of the owner's acts, and to the worker.
+func (m *machine) tell(move lease.Move) {
 	if move.To.Member != "" { // a grant is news that the log brings ahead of the owner's acts
 		if err := m.fence.Admit(move.Lease, move.Token); err != nil {
 			m.log.Error("fleet_token_went_back", "error", err.Error())
@@ -81,8 +86,11 @@
 		return fmt.Errorf("fleet: %w", err)
 	}
 	m.mu.Lock()
-	defer m.mu.Unlock()
-	m.member.Restore(t, m.clock())
+	moves := m.member.Restore(t, m.clock())
+	m.mu.Unlock()
+	for _, move := range moves {
+		m.tell(move)
+	}
 	return nil
 }
 
