Bound the fleet's calls at the shared ledger by one budget, kept in every partition

Package share had the rights; no process used them.

[fleet] budget_calls gives each member a part of the fleet's budget: rows and accounts go over gossip, the bank's orders are entries of the voters' log under the token of the lease on the bank, and program/budget.go lets a call go below only within this member's rights; what has no room waits its turn within its time-out. News that is news is passed on by those who hear it: memberlist tells a piece to a few only.

--- /dev/null
+++ b/fleet/budget.go
@@ -0,0 +1,222 @@
+package fleet
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"fmt"
+	"log/slog"
+	mathrand "math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"quincerail.example/quincerail/fleet/lease"
+	"quincerail.example/quincerail/fleet/share"
+)
+
+const (
+	budgetTick  = 100 * time.Millisecond
+	ordersAgain = time.Second // after orders were sent, until others are while they have not come back
+)
+
+// newLife draws the number of a life of this process.
+func newLife() uint64 {
+	var b [8]byte
+	rand.Read(b[:]) // never fails (crypto/rand)
+	return binary.BigEndian.Uint64(b[:])>>1 + 1
+}
+
+// Budget is this member's part of the calls that the whole fleet may have in
+// hand at the shared dependency (package share). Its methods are safe for
+// concurrent use.
+type Budget struct {
+	name   string
+	timing share.Timing
+	total  uint64
+	log    *slog.Logger
+	clock  func() time.Duration
+	tell   func(about string, piece []byte)
+
+	mu     sync.Mutex
+	member *share.Member
+	keeper *share.Keeper // while this process owns the lease Bank
+	token  lease.Token   // under which
+	asked  time.Duration // when orders were sent that have not come back yet; 0 for none
+	freed  func()
+}
+
+func newBudget(c *Config, log *slog.Logger, clock func() time.Duration, tell func(string, []byte)) (*Budget, error) {
+	b := &Budget{name: c.Self, total: c.Budget, log: log, clock: clock, tell: tell, freed: func() {},
+		timing: c.horizon()}
+	return b, b.begin()
+}
+
+// begin begins a new life, which holds nothing yet. The lock is held, or not needed.
+func (b *Budget) begin() error {
+	life := newLife()
+	m, err := share.NewMember(share.ID{Member: b.name, Life: life}, b.timing, mathrand.New(mathrand.NewPCG(life, 1)))
+	if err != nil {
+		return fmt.Errorf("fleet: budget: %w", err)
+	}
+	if b.member != nil { // what it knew of the others holds
+		for _, i := range items(b.member.State()) {
+			m.Merge(i, b.clock())
+		}
+	}
+	b.member = m
+	return nil
+}
+
+func items(s share.State) (out []share.Item) {
+	for id, r := range s.Rows {
+		out = append(out, share.Item{Of: id, Row: r})
+	}
+	for id, a := range s.Accounts {
+		out = append(out, share.Item{Of: id, Account: a})
+	}
+	return out
+}
+
+// Take asks for one more call in hand. put gives it back, once, when the call
+// is over or can't be at the dependency any more; that has to be within the
+// configuration's Hold.
+func (b *Budget) Take() (put func(), ok bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	m := b.member // a call goes back to the life that took it
+	if !m.Take(b.clock()) {
+		return nil, false
+	}
+	return func() {
+		b.mu.Lock()
+		defer b.mu.Unlock()
+		m.Put()
+	}, true
+}
+
+// OnFreed has f called, from another goroutine, whenever there may be more to take.
+func (b *Budget) OnFreed(f func()) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.freed = f
+}
+
+// Rights is how many calls this member may have in hand now, and how many it has.
+func (b *Budget) Rights() (rights, used uint64) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.member.Rights(), b.member.Used()
+}
+
+// heard takes in a piece of news.
+func (b *Budget) heard(piece []byte) (about string, news bool) {
+	var i share.Item
+	if err := cbor.Unmarshal(piece, &i); err != nil {
+		b.log.Debug("fleet_news_unreadable", "bytes", len(piece))
+		return "", false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	_, news = b.member.Merge(i, b.clock())
+	return aboutItem(i), news
+}
+
+// aboutItem names what an item is about: the next of the same name is later.
+func aboutItem(i share.Item) string {
+	if i.Row != nil {
+		return "row " + i.Of.String()
+	}
+	return "account " + i.Of.String()
+}
+
+// latest gives all that is known, for those who join.
+func (b *Budget) latest() (out [][]byte) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for _, i := range items(b.member.State()) {
+		if piece, err := cbor.Marshal(i); err == nil {
+			out = append(out, piece)
+		}
+	}
+	return out
+}
+
+// spread tells the others, outside the lock.
+func (b *Budget) spread(is []share.Item) {
+	for _, i := range is {
+		piece, err := cbor.Marshal(i)
+		if err != nil {
+			b.log.Error("fleet_share", "error", err.Error())
+			continue
+		}
+		b.tell(aboutItem(i), append([]byte{newsShare}, piece...))
+	}
+}
+
+// changed takes in accounts that the log changed, and spreads them.
+func (b *Budget) changed(is []share.Item) {
+	b.mu.Lock()
+	b.asked = 0
+	for _, i := range is {
+		b.member.Merge(i, b.clock())
+	}
+	b.mu.Unlock()
+	b.spread(is)
+}
+
+// tick has the member speak, and the keeper decide where this process owns the
+// bank; it gives the keeper's orders for the log.
+func (b *Budget) tick(m *machine) [][]byte {
+	var out []share.Item
+	var orders []share.Order
+	b.mu.Lock()
+	now := b.clock()
+	if b.member.Fenced() {
+		b.log.Warn("fleet_share_fenced", "member", b.name)
+		if err := b.begin(); err != nil {
+			b.log.Error("fleet_share", "error", err.Error())
+		}
+	}
+	if i := b.member.Tick(now); i != nil {
+		out = append(out, *i)
+	}
+	token, keeps := lease.Token{}, false
+	if m != nil {
+		token, keeps = m.holds(Bank)
+	}
+	switch {
+	case !keeps:
+		b.keeper = nil
+	case b.keeper == nil || b.token != token:
+		b.keeper, b.token, b.asked = share.NewKeeper(b.total, b.timing, now), token, 0
+	}
+	if b.keeper != nil {
+		m.mu.Lock()
+		asked, acks := b.keeper.Tick(now, b.member.State(), m.bank)
+		m.mu.Unlock()
+		for _, a := range acks {
+			if news, ok := b.member.Merge(a, now); ok {
+				out = append(out, news)
+			}
+		}
+		if len(asked) > 0 && (b.asked == 0 || now-b.asked >= ordersAgain) {
+			orders, b.asked = asked, now
+		}
+	}
+	freed := b.freed
+	b.mu.Unlock()
+	b.spread(out)
+	freed()
+	var commands [][]byte
+	for _, o := range orders {
+		c, err := json.Marshal(command{Bank: &bankOrder{token, o}})
+		if err != nil {
+			b.log.Error("fleet_command", "error", err.Error())
+			continue
+		}
+		commands = append(commands, c)
+	}
+	return commands
+}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -16,12 +16,16 @@
 	"time"
 
 	"quincerail.example/quincerail/fleet/lease"
+	"quincerail.example/quincerail/fleet/share"
 )
 
 // Registry names the lease on probing the shared dependency and publishing how
 // it stands.
 const Registry = "registry"
 
+// Bank names the lease on keeping the fleet's budget.
+const Bank = "bank"
+
 // Role is a member's part.
 type Role string
 
@@ -55,11 +59,23 @@
 	Slow       time.Duration // a probe that takes longer finds the dependency slow
 	Publish    string        // URL that judgements are put to; "" for none
 
+	// Budget is how many calls the whole fleet may have in hand at the shared
+	// dependency, at any instant and in any partition; 0 for no such bound. The
+	// same at each member.
+	Budget  uint64
+	Horizon time.Duration // without word from the bank's owner, until a member makes no calls
+	Hold    time.Duration // the longest that a call is in hand
+
 	Logger *slog.Logger // nil for slog.Default()
 }
 
 // Validate gives an error that names the operator's key at fault.
 func (c *Config) Validate() error {
+	if c.Budget > 0 {
+		if err := c.horizon().Validate(); err != nil {
+			return fmt.Errorf("fleet.horizon_ms: %w", err)
+		}
+	}
 	if c.Role != Voter {
 		return nil
 	}
@@ -78,3 +94,8 @@
 func (c *Config) timing() lease.Timing {
 	return lease.Timing{Term: c.Term, Drift: c.Drift, Renew: c.Term / 4}
 }
+
+// horizon is the budget's timing: ten beats in a horizon.
+func (c *Config) horizon() share.Timing {
+	return share.Timing{Horizon: c.Horizon, Drift: c.Drift, Hold: c.Hold, Beat: c.Horizon / 10}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"encoding/json"
 	"log/slog"
 	"maps"
@@ -15,6 +13,7 @@
 	"quincerail.example/quincerail/fleet/gossip"
 	"quincerail.example/quincerail/fleet/lease"
 	"quincerail.example/quincerail/fleet/link"
+	"quincerail.example/quincerail/fleet/share"
 )
 
 // leaveWithin is how long a member that ends waits for its leave to spread.
@@ -26,9 +25,12 @@
 	log     *slog.Logger
 	self    lease.Owner
 	board   *board
+	budget  *Budget // nil where the fleet has none
 	members *gossip.Members
 	stop    context.CancelFunc
+	joined  chan struct{} // closed when there are members to tell
 	worked  chan struct{} // closed when the worker has ended
+	shared  chan struct{} // closed when the budget is no longer kept
 
 	// Of a voter; nil in other members.
 	machine *machine
@@ -43,6 +45,8 @@
 	Messages int64 // sent to other members, voters' among them
 	Bytes    int64 // likewise
 	Stale    int   // pieces of fleet work refused for their token
+	Rights   int   // calls that this member may have in hand, where there is a budget
+	InHand   int   // of them used
 }
 
 // Start joins the fleet. Others need not be up yet.
@@ -50,44 +54,56 @@
 	if err := c.Validate(); err != nil {
 		return nil, err
 	}
-	f := &Fleet{conf: c, log: c.Logger, worked: make(chan struct{})}
+	f := &Fleet{conf: c, log: c.Logger, joined: make(chan struct{}), worked: make(chan struct{}), shared: make(chan struct{})}
 	if f.log == nil {
 		f.log = slog.Default()
 	}
-	var life [8]byte
-	rand.Read(life[:]) // never fails (crypto/rand)
-	f.self = lease.Owner{Member: c.Self, Life: binary.BigEndian.Uint64(life[:])>>1 + 1}
+	f.self = lease.Owner{Member: c.Self, Life: newLife()}
 	fence := &lease.Fence{}
 	f.board = &board{log: f.log, fence: fence, latest: map[string]Judgement{}}
+	began := time.Now()
+	clock := func() time.Duration { return time.Duration(float64(time.Since(began)) * c.ClockRate) }
+	if c.Budget > 0 {
+		var err error
+		if f.budget, err = newBudget(&c, f.log, clock, f.tell); err != nil {
+			return nil, err
+		}
+	}
 	raft := ""
 	if c.Role == Voter {
-		if err := f.startVoter(fence); err != nil {
+		if err := f.startVoter(fence, clock); err != nil {
 			return nil, err
 		}
 		raft = f.mesh.Addr().String()
 	}
 	var err error
 	if f.members, err = gossip.Start(gossip.Options{Fleet: c.Fleet, Self: c.Self, Listen: c.Gossip, Seeds: c.Seeds,
-		News: f.board, Logger: f.log}); err != nil {
+		News: news{f}, Logger: f.log}); err != nil {
 		f.stopVoter()
 		return nil, err
 	}
+	close(f.joined)
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
 	go f.work(ctx)
+	go f.share(ctx)
 	f.log.Info("fleet", "name", c.Self, "role", string(c.Role), "raft", raft, "gossip", f.members.Addr())
 	return f, nil
 }
 
-func (f *Fleet) startVoter(fence *lease.Fence) error {
-	member, err := lease.NewMember(f.self, f.conf.timing(), []string{Registry})
+func (f *Fleet) startVoter(fence *lease.Fence, clock func() time.Duration) error {
+	wanted := []string{Registry}
+	if f.budget != nil {
+		wanted = append(wanted, Bank)
+	}
+	member, err := lease.NewMember(f.self, f.conf.timing(), wanted)
 	if err != nil {
 		return err
 	}
-	began := time.Now()
-	rate := f.conf.ClockRate
-	f.machine = &machine{log: f.log, fence: fence, member: member, moved: make(chan struct{}, 1),
-		clock: func() time.Duration { return time.Duration(float64(time.Since(began)) * rate) }}
+	f.machine = &machine{log: f.log, fence: fence, member: member, moved: make(chan struct{}, 1), clock: clock}
+	if f.budget != nil {
+		f.machine.bank, f.machine.changed = share.NewBank(f.conf.Budget), f.budget.changed
+	}
 	peers := maps.Clone(f.conf.Voters)
 	delete(peers, f.conf.Self)
 	ready := make(chan struct{})
@@ -110,6 +126,71 @@
 	return nil
 }
 
+// The kinds of news, as a piece's first byte.
+const (
+	newsJudgement = 'j'
+	newsShare     = 's'
+)
+
+// news is what the members tell each other: gossip.News.
+type news struct{ f *Fleet }
+
+// Heard implements gossip.News.
+func (n news) Heard(piece []byte) (about string, isNews bool) {
+	switch {
+	case len(piece) > 0 && piece[0] == newsJudgement:
+		return n.f.board.heard(piece[1:])
+	case len(piece) > 0 && piece[0] == newsShare && n.f.budget != nil:
+		return n.f.budget.heard(piece[1:])
+	}
+	return "", false
+}
+
+// Latest implements gossip.News.
+func (n news) Latest() (out [][]byte) {
+	for _, p := range n.f.board.pieces() {
+		out = append(out, append([]byte{newsJudgement}, p...))
+	}
+	if n.f.budget != nil {
+		for _, p := range n.f.budget.latest() {
+			out = append(out, append([]byte{newsShare}, p...))
+		}
+	}
+	return out
+}
+
+// tell spreads a piece of news, once there is anybody to tell.
+func (f *Fleet) tell(about string, piece []byte) {
+	select {
+	case <-f.joined:
+		f.members.Tell(about, piece)
+	default: // it comes by Latest
+	}
+}
+
+// Budget is this member's part of the fleet's budget, nil where there is none.
+func (f *Fleet) Budget() *Budget { return f.budget }
+
+// share keeps this member's part of the budget.
+func (f *Fleet) share(ctx context.Context) {
+	defer close(f.shared)
+	if f.budget == nil {
+		return
+	}
+	ticker := time.NewTicker(budgetTick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		if orders := f.budget.tick(f.machine); len(orders) > 0 {
+			f.node.Do(func() [][]byte { return orders })
+		}
+	}
+}
+
 // Owner tells whether this process may act as the owner of a lease now, and
 // under which token. It is to be asked right before each act, and the token to
 // go with the act.
@@ -139,6 +220,10 @@
 		messages, bytes := f.mesh.Sent()
 		s.Messages, s.Bytes = s.Messages+messages, s.Bytes+bytes
 	}
+	if f.budget != nil {
+		rights, used := f.budget.Rights()
+		s.Rights, s.InHand = int(rights), int(used)
+	}
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
 	s.Stale = f.board.stale
@@ -186,8 +271,8 @@
 		f.log.Error("fleet_publish_failed", "error", err.Error())
 		return
 	}
-	f.board.Heard(piece)
-	f.members.Tell(j.Lease, piece)
+	f.board.heard(piece)
+	f.members.Tell(j.Lease, append([]byte{newsJudgement}, piece...))
 	if f.conf.Publish == "" {
 		return
 	}
@@ -201,10 +286,11 @@
 func (f *Fleet) Stop(within time.Duration) {
 	f.stop()
 	<-f.worked
+	<-f.shared
 	if f.machine != nil {
 		until := time.Now().Add(within)
 		f.node.Do(f.machine.retire)
-		for f.machine.owns(Registry, f.self) && time.Now().Before(until) {
+		for f.machine.owns(f.self) && time.Now().Before(until) {
 			select {
 			case <-f.machine.moved:
 			case <-time.After(f.conf.Election / 10):
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -40,9 +41,14 @@
 
 func start(t *testing.T, own map[string]map[string]any) run {
 	t.Helper()
-	f, err := fleettest.Start(fleettest.Options{Binary: binary, Dir: t.TempDir(), Seed: 16, Voters: 5, Members: 1, Own: own,
-		Example:  filepath.Join("..", "example", "config.json"),
-		Settings: map[string]any{"election_ms": 300, "lease_ms": 300, "probe_ms": 20}})
+	return startWith(t, fleettest.Options{Own: own, Settings: map[string]any{"election_ms": 300, "lease_ms": 300, "probe_ms": 20}})
+}
+
+func startWith(t *testing.T, o fleettest.Options) run {
+	t.Helper()
+	o.Binary, o.Dir, o.Seed, o.Voters, o.Members = binary, t.TempDir(), 16, 5, 1
+	o.Example = filepath.Join("..", "example", "config.json")
+	f, err := fleettest.Start(o)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -234,3 +240,74 @@
 	r.after(old.Token)
 	<-r.Exited(old.By)
 }
+
+// budget is how many calls the fleet of TestBudget may have in hand.
+const budget = 12
+
+// served waits until so many more calls have ended at the shared ledger, and
+// checks that no more than the budget were in hand meanwhile.
+func (r run) served(what string, calls int) {
+	r.t.Helper()
+	most, from, changed := r.Ledger.Count()
+	deadline := time.After(30 * time.Second)
+	for {
+		m, done, next := r.Ledger.Count()
+		if most = max(most, m); most > budget {
+			r.t.Fatalf("%s: %d calls in hand, the budget is %d", what, most, budget)
+		}
+		if done >= from+calls {
+			r.t.Logf("%s: at most %d in hand", what, most)
+			return
+		}
+		changed = next
+		select {
+		case <-changed:
+		case <-deadline:
+			r.t.Fatalf("%s: %d calls ended in 30 s", what, done-from)
+		}
+	}
+}
+
+// TestBudget has callers of all members want more calls at the shared ledger
+// than the fleet may have in hand: split into halves, with one member isolated,
+// with messages lost, doubled and reordered, with members paused, killed and
+// restarted, the bound holds at every instant, and work goes on.
+func TestBudget(t *testing.T) {
+	r := startWith(t, fleettest.Options{Load: 4, Took: 60 * time.Millisecond, Settings: map[string]any{"election_ms": 300,
+		"lease_ms": 300, "budget_calls": budget, "horizon_ms": 3000, "hold_ms": 600}})
+	r.served("whole", 300)
+	gossip := func(rule fault.Rule, picks func(p *fault.Pair) bool) {
+		r.Net.Set(rule, func(p *fault.Pair) bool { return p.Kind != "publish" && picks(p) })
+	}
+	half := map[string]bool{"v1": true, "v2": true, "m1": true}
+	gossip(fault.Rule{Cut: true}, func(p *fault.Pair) bool { return half[p.From] != half[p.To] })
+	r.served("halves", 300)
+	r.Net.Heal()
+	r.served("healed", 100)
+	gossip(fault.Rule{Cut: true}, func(p *fault.Pair) bool { return p.From == "v3" || p.To == "v3" })
+	r.served("one isolated", 300)
+	r.Net.Heal()
+	gossip(fault.Rule{Drop: 0.2, Double: 0.1, Jitter: 30 * time.Millisecond}, func(*fault.Pair) bool { return true })
+	from := len(r.Lines())
+	r.signal("v4", syscall.SIGSTOP)
+	if err := r.Kill("v5"); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Launch("v5"); err != nil { // its old name, a new life
+		t.Fatal(err)
+	}
+	fenced := func(l fleettest.Line) bool {
+		return l.Event == "bank" && l.Fields["order"] == "fence" && strings.HasPrefix(l.Fields["of"], "v5/")
+	}
+	if _, err := r.Await("the fence of the old life", from, fenced); err != nil {
+		t.Fatal(err)
+	}
+	r.signal("v4", syscall.SIGCONT)
+	r.served("paused, killed and lossy", 300)
+	r.Net.Heal()
+	settled := func(l fleettest.Line) bool { return l.Event == "bank" && l.Fields["order"] == "settle" }
+	if _, err := r.Await("the settlement of the old life", from, settled); err != nil {
+		t.Fatal(err)
+	}
+	r.served("settled", 300)
+}
--- a/fleet/gossip/delegate.go
+++ b/fleet/gossip/delegate.go
@@ -11,7 +11,14 @@
 func (d delegate) NodeMeta(int) []byte { return nil }
 
 // NotifyMsg implements memberlist.Delegate. The bytes are the library's.
-func (d delegate) NotifyMsg(b []byte) { d.news.Heard(append([]byte(nil), b...)) }
+func (d delegate) NotifyMsg(b []byte) { d.heard(append([]byte(nil), b...)) }
+
+// heard passes on what is news: the library tells a piece to a few members only.
+func (d delegate) heard(piece []byte) {
+	if about, news := d.news.Heard(piece); news {
+		d.members.Tell(about, piece)
+	}
+}
 
 // GetBroadcasts implements memberlist.Delegate.
 func (d delegate) GetBroadcasts(overhead, limit int) [][]byte {
@@ -34,6 +41,6 @@
 		return
 	}
 	for _, p := range pieces {
-		d.news.Heard(p)
+		d.heard(p)
 	}
 }
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -33,8 +33,9 @@
 // News is what is spread beside the membership. Its methods are called from
 // several goroutines and must not block.
 type News interface {
-	// Heard takes in a piece of news, once or more often, in any order.
-	Heard(piece []byte)
+	// Heard takes in a piece of news, once or more often, in any order, and
+	// tells what it is about and whether it was news: it is passed on then.
+	Heard(piece []byte) (about string, news bool)
 	// Latest gives the pieces that one who joins, or was cut off, should hear.
 	Latest() [][]byte
 }
--- a/fleet/judgement.go
+++ b/fleet/judgement.go
@@ -56,23 +56,23 @@
 	stale  int // refused
 }
 
-// Heard implements gossip.News.
-func (b *board) Heard(piece []byte) {
+// heard takes in a piece of news.
+func (b *board) heard(piece []byte) (about string, news bool) {
 	var j Judgement
 	if err := json.Unmarshal(piece, &j); err != nil || j.Lease != Registry {
 		b.log.Debug("fleet_news_unreadable", "bytes", len(piece))
-		return
+		return "", false
 	}
 	if err := b.fence.Admit(j.Lease, j.Token); err != nil {
 		b.mu.Lock()
 		b.stale++
 		b.mu.Unlock()
 		b.log.Debug("fleet_stale", "by", j.By, "error", err.Error())
-		return
+		return "", false
 	}
 	b.mu.Lock()
 	was, known := b.latest[j.Lease]
-	news := !known || j.later(was)
+	news = !known || j.later(was)
 	if news {
 		b.latest[j.Lease] = j
 	}
@@ -80,10 +80,11 @@
 	if news && (was.State != j.State || was.Token != j.Token) {
 		b.log.Info("judgement", "of", j.Lease, "state", string(j.State), "by", j.By, "token", j.Token.String())
 	}
+	return j.Lease, news
 }
 
-// Latest implements gossip.News.
-func (b *board) Latest() [][]byte {
+// latest gives the judgements that are known.
+func (b *board) pieces() [][]byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	var out [][]byte
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -4,39 +4,94 @@
 	"encoding/json"
 	"fmt"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
 	"quincerail.example/quincerail/fleet/lease"
+	"quincerail.example/quincerail/fleet/share"
 )
 
-// machine is the leases of a voter under its log: consensus.Machine over
-// lease.Member.
+// command is an entry of the log: one about a lease, or an order for the bank.
+type command struct {
+	*lease.Command `json:"lease,omitempty"`
+	Bank           *bankOrder `json:"bank,omitempty"`
+}
+
+// bankOrder is an order for the bank, under the token of the lease Bank: the
+// log refuses what a late-waking old owner sends.
+type bankOrder struct {
+	Token lease.Token `json:"token"`
+	Order share.Order `json:"order"`
+}
+
+// snapshot is what the log came to.
+type snapshot struct {
+	Leases *lease.Table `json:"leases"`
+	Bank   *share.Bank  `json:"bank,omitempty"`
+}
+
+// machine is what a voter has under its log: consensus.Machine over
+// lease.Member and share.Bank.
 type machine struct {
 	log   *slog.Logger
 	clock func() time.Duration
 	fence *lease.Fence
 	moved chan struct{} // has an item when a lease changed owners
 
+	changed func([]share.Item) // takes accounts that the bank changed; nil where there is none
+
 	mu     sync.Mutex // the worker asks from its own goroutine
 	member *lease.Member
+	bank   *share.Bank // nil where the fleet has no budget
 }
 
 // Apply implements consensus.Machine.
 func (m *machine) Apply(data []byte, term, index uint64) {
-	var c lease.Command
+	var c command
 	if err := json.Unmarshal(data, &c); err != nil {
 		m.log.Error("fleet_command_unreadable", "index", index, "error", err.Error())
 		return
 	}
+	if c.Bank != nil {
+		m.order(*c.Bank, index)
+		return
+	}
+	if c.Command == nil {
+		return
+	}
 	m.mu.Lock()
-	move := m.member.Applied(c, lease.Token{Term: term, Index: index}, m.clock())
+	move := m.member.Applied(*c.Command, lease.Token{Term: term, Index: index}, m.clock())
 	m.mu.Unlock()
 	if move != nil {
 		m.tell(*move)
 	}
 }
 
+// order has the bank take in an order, unless it is an old owner's.
+func (m *machine) order(o bankOrder, index uint64) {
+	m.mu.Lock()
+	if m.bank == nil {
+		m.mu.Unlock()
+		return
+	}
+	g := m.member.Table().Grant(Bank)
+	var items []share.Item
+	var err error
+	if g.Token != o.Token || g.Free() {
+		err = &lease.StaleError{Lease: Bank, Token: o.Token, Highest: g.Token}
+	} else {
+		items, err = m.bank.Apply(o.Order, index)
+	}
+	m.mu.Unlock()
+	if err != nil {
+		m.log.Debug("fleet_order_refused", "error", err.Error())
+		return
+	}
+	m.log.Info("bank", "order", string(o.Order.Kind), "of", o.Order.Of.String(), "amount", o.Order.Amount)
+	m.changed(items)
+}
+
 // tell says that a lease changed owners: to the log, to the fence, which so
 // knows of a grant ahead of the owner's acts, and to the worker.
 func (m *machine) tell(move lease.Move) {
@@ -62,7 +117,7 @@
 func (m *machine) encode(commands []lease.Command) [][]byte {
 	var out [][]byte
 	for _, c := range commands {
-		b, err := json.Marshal(c)
+		b, err := json.Marshal(command{Command: &c})
 		if err != nil {
 			m.log.Error("fleet_command", "error", err.Error())
 			continue
@@ -76,18 +131,31 @@
 func (m *machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return json.Marshal(m.member.Table())
+	return json.Marshal(snapshot{m.member.Table(), m.bank})
 }
 
 // Restore implements consensus.Machine.
 func (m *machine) Restore(data []byte) error {
-	var t lease.Table
-	if err := json.Unmarshal(data, &t); err != nil {
+	var s snapshot
+	if err := json.Unmarshal(data, &s); err != nil {
 		return fmt.Errorf("fleet: %w", err)
 	}
+	if s.Leases == nil {
+		s.Leases = &lease.Table{}
+	}
 	m.mu.Lock()
-	moves := m.member.Restore(t, m.clock())
+	moves := m.member.Restore(*s.Leases, m.clock())
+	var items []share.Item
+	if m.bank != nil && s.Bank != nil {
+		m.bank = s.Bank
+		for id, a := range s.Bank.Accounts {
+			items = append(items, share.Item{Of: id, Account: a})
+		}
+	}
 	m.mu.Unlock()
+	if len(items) > 0 {
+		m.changed(items)
+	}
 	for _, move := range moves {
 		m.tell(move)
 	}
@@ -101,11 +169,12 @@
 	return m.member.Holds(name, m.clock())
 }
 
-// owns tells whether the log has this voter as a lease's owner.
-func (m *machine) owns(name string, self lease.Owner) bool {
+// owns tells whether the log has this voter as the owner of any lease.
+func (m *machine) owns(self lease.Owner) bool {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.member.Table().Grant(name).Owner == self
+	t := m.member.Table()
+	return slices.ContainsFunc(t.Leases(), func(name string) bool { return t.Grant(name).Owner == self })
 }
 
 func (m *machine) retire() [][]byte {
--- a/internal/fleetlab/main.go
+++ b/internal/fleetlab/main.go
@@ -1,8 +1,10 @@
-// Command fleetlab measures fleets of real processes on loopback. It is no part
+// Command fleetlab measures fleets, of real processes on loopback and on the
+// emulator of package share. It is no part
 // of CI; docs/fleet.md has its tables.
 //
 //	go run ./internal/fleetlab failover --trials 100
 //	go run ./internal/fleetlab traffic --members 295
+//	go run ./internal/fleetlab share
 package main
 
 import (
@@ -29,6 +31,7 @@
 type cli struct {
 	Failover failoverCmd `cmd:"" help:"Time from an owner's end to the next owner's first act."`
 	Traffic  trafficCmd  `cmd:"" help:"Messages, bytes and CPU time of each member of a fleet at rest."`
+	Share    shareCmd    `cmd:"" help:"Partitions of fleets on the emulator: a table, and charts."`
 }
 
 func main() {
--- /dev/null
+++ b/internal/fleetlab/share.go
@@ -0,0 +1,162 @@
+package main
+
+import (
+	"fmt"
+	"path/filepath"
+	"sync"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+
+	"quincerail.example/quincerail/fleet/share"
+	"quincerail.example/quincerail/fleet/share/emulate"
+)
+
+// shareCmd plays partitions on the emulator, and writes a table and charts.
+type shareCmd struct {
+	Members []int  `default:"300,3000" help:"Sizes of fleets."`
+	Seed    uint64 `default:"1"`
+	Charts  string `default:"docs" help:"Folder for the charts."`
+}
+
+// The course of a play, in rounds of 200 ms.
+const (
+	warmRounds = 200
+	cutRounds  = 100
+	healRounds = 200
+	roundTime  = 200 * time.Millisecond
+)
+
+// partition puts members into groups.
+type partition struct {
+	name  string
+	group func(i, members int) int
+}
+
+var partitions = []partition{
+	{"halves", func(i, _ int) int { return i % 2 }},
+	{"thirds", func(i, _ int) int { return i % 3 }},
+	{"a tenth cut off", func(i, _ int) int {
+		if i%10 == 9 {
+			return 1
+		}
+		return 0
+	}},
+	{"one isolated", func(i, members int) int {
+		if i == members-1 {
+			return 1
+		}
+		return 0
+	}},
+	{"none hears any", func(i, _ int) int { return i }},
+}
+
+// play is what came of one.
+type play struct {
+	overshoot          int64
+	healed, cut, again float64 // share of what could be served that was: before, during, after
+	rounds             int     // until all knew what any had known, after healing
+	bytes              float64 // of each member, a second
+	used, want         plotter.XYs
+}
+
+// Run implements the sub-command.
+func (c *shareCmd) Run() error {
+	type job struct {
+		members int
+		p       partition
+		out     play
+		err     error
+	}
+	var jobs []*job
+	for _, n := range c.Members {
+		for _, p := range partitions {
+			jobs = append(jobs, &job{members: n, p: p})
+		}
+	}
+	var wg sync.WaitGroup
+	for _, j := range jobs {
+		wg.Go(func() { j.out, j.err = c.play(j.members, j.p) })
+	}
+	wg.Wait()
+	fmt.Println("| members | partition | overshoot | served before | cut | after | rounds to know | bytes/s a member |")
+	fmt.Println("| --- | --- | --- | --- | --- | --- | --- | --- |")
+	for _, j := range jobs {
+		if j.err != nil {
+			return j.err
+		}
+		fmt.Printf("| %d | %s | %d | %.3f | %.3f | %.3f | %d | %.0f |\n", j.members, j.p.name, max(0, j.out.overshoot),
+			j.out.healed, j.out.cut, j.out.again, j.out.rounds, j.out.bytes)
+		if j.p.name == "halves" {
+			if err := chart(filepath.Join(c.Charts, fmt.Sprintf("share-%d.svg", j.members)), j.members, j.out); err != nil {
+				return err
+			}
+		}
+	}
+	return nil
+}
+
+// budget is what a fleet may have in hand for each member.
+const budget = 8
+
+func (c *shareCmd) play(members int, p partition) (out play, err error) {
+	f, err := emulate.New(emulate.Config{Members: members, Total: uint64(members) * budget, Seed: c.Seed, Round: roundTime,
+		Fanout: 3, Bytes: 1400 * max(1, members/1000), Loss: 0.05, Double: 0.02, Late: 0.02, Drift: 0.05, Load: 1, Skew: 0.9, Reshuffle: 250,
+		Timing: share.Timing{Horizon: 90 * time.Second, Drift: 0.05, Hold: 2 * roundTime, Beat: 10 * time.Second}})
+	if err != nil {
+		return out, err
+	}
+	round := 0
+	run := func(rounds, from int) (served float64) {
+		n := 0
+		for i := range rounds {
+			f.Step()
+			used, want := f.Served()
+			x := float64(round) * roundTime.Seconds()
+			out.used, out.want = append(out.used, plotter.XY{X: x, Y: float64(used)}), append(out.want, plotter.XY{X: x, Y: float64(want)})
+			round++
+			if i >= from {
+				served += float64(used) / float64(want)
+				n++
+			}
+		}
+		return served / float64(n)
+	}
+	out.healed = run(warmRounds, warmRounds/2)
+	f.Partition(func(i int) int { return p.group(i, members) })
+	out.cut = run(cutRounds, 0)
+	f.Partition(func(int) int { return 0 })
+	marks := f.Marks()
+	for out.rounds < healRounds/2 && !f.Know(marks) {
+		run(1, 0)
+		out.rounds++
+	}
+	out.again = run(healRounds-out.rounds, healRounds/2)
+	out.overshoot, out.bytes = f.Overshoot(), f.SentBytes()/(float64(round)*roundTime.Seconds())
+	return out, nil
+}
+
+// chart draws what was wanted and in hand over a play.
+func chart(path string, members int, out play) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%d members, in halves from %v to %v", members, warmRounds*roundTime, (warmRounds+cutRounds)*roundTime)
+	p.X.Label.Text, p.Y.Label.Text = "seconds", "in hand at the shared dependency"
+	p.Y.Min = 0
+	bound := plotter.XYs{{X: 0, Y: float64(members * budget)}, {X: out.used[len(out.used)-1].X, Y: float64(members * budget)}}
+	for i, l := range []struct {
+		name string
+		xy   plotter.XYs
+	}{{"budget", bound}, {"in hand", out.used}} {
+		line, err := plotter.NewLine(l.xy)
+		if err != nil {
+			return err
+		}
+		line.Dashes = [][]vg.Length{{vg.Points(4), vg.Points(3)}, nil}[i]
+		p.Add(line)
+		p.Legend.Add(l.name, line)
+	}
+	p.Legend.Top = false
+	return p.Save(18*vg.Centimeter, 8*vg.Centimeter, path)
+}
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -15,6 +15,7 @@
 	"regexp"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -48,6 +49,10 @@
 	// Direct has plain members join the voters, and be reached, without proxies:
 	// for measurements with hundreds of members.
 	Direct bool
+	// Load is how many callers each member has, which ask for work that calls the
+	// shared ledger, one request after the other; 0 for none, and no ledger.
+	Load   int
+	Took   time.Duration // of a call at the shared ledger
 	Within time.Duration // until Await gives up; 0 for 30 s
 }
 
@@ -67,15 +72,21 @@
 	exited chan struct{}
 	args   []string
 	config string
+
+	processor *standin.Processor // where there is load
+	address   atomic.Pointer[string]
 }
 
 // Fleet is the processes of a test.
 type Fleet struct {
 	Net      *fault.Net
 	Registry *standin.Registry
+	Ledger   *standin.SharedLedger // nil without load
 	Children map[string]*Child
 
 	opt     Options
+	closed  chan struct{}
+	callers sync.WaitGroup
 	gossip  map[string]string // where members hear the others
 	mu      sync.Mutex
 	lines   []Line
@@ -84,7 +95,7 @@
 
 // Start starts all members, and returns once each says where it listens.
 func Start(opt Options) (*Fleet, error) {
-	f := &Fleet{Net: fault.NewNet(opt.Seed), Children: map[string]*Child{}, opt: opt, gossip: map[string]string{}, changed: make(chan struct{})}
+	f := &Fleet{Net: fault.NewNet(opt.Seed), Children: map[string]*Child{}, opt: opt, gossip: map[string]string{}, closed: make(chan struct{}), changed: make(chan struct{})}
 	if f.opt.Within == 0 {
 		f.opt.Within = 30 * time.Second
 	}
@@ -92,6 +103,12 @@
 	if f.Registry, err = standin.NewRegistry("127.0.0.1:0"); err != nil {
 		return nil, fmt.Errorf("fleettest: %w", err)
 	}
+	if opt.Load > 0 {
+		if f.Ledger, err = standin.NewSharedLedger("127.0.0.1:0", opt.Took); err != nil {
+			f.Registry.Close()
+			return nil, fmt.Errorf("fleettest: %w", err)
+		}
+	}
 	var voters, all []string
 	for i := range opt.Voters {
 		voters = append(voters, fmt.Sprint("v", i+1))
@@ -147,6 +164,18 @@
 	}
 	delete(config, "control")
 	config["name"], config["listen"], config["ledger"] = name, "127.0.0.1:0", f.Registry.Addr()
+	c := &Child{Name: name, config: filepath.Join(dir, "config.json")}
+	if f.Ledger != nil {
+		work := standin.NewWork(0)
+		if c.processor, err = standin.NewProcessor("127.0.0.1:0", work); err != nil {
+			return fmt.Errorf("fleettest: %w", err)
+		}
+		go func() { // nobody else looks
+			for range work.Begun() {
+			}
+		}()
+		config["processor"], config["ledger"] = c.processor.Addr(), f.Ledger.Addr()
+	}
 	via := func(kind string, framed bool, to []string) (map[string]string, error) {
 		out := map[string]string{}
 		for _, peer := range to {
@@ -182,7 +211,6 @@
 	}
 	maps.Copy(fleet, f.opt.Settings)
 	maps.Copy(fleet, f.opt.Own[name])
-	c := &Child{Name: name, config: filepath.Join(dir, "config.json")}
 	operator := filepath.Join(dir, "operator.cue") // JSON is CUE
 	for path, v := range map[string]any{c.config: config, operator: map[string]any{"fleet": fleet,
 		"metrics": map[string]any{"listen": "127.0.0.1:0"}, "log": map[string]any{"repeats": 0}}} {
@@ -196,9 +224,38 @@
 	}
 	c.args = []string{"serve", "--operator", operator}
 	f.Children[name] = c
+	for i := range f.opt.Load {
+		f.callers.Go(func() { f.ask(c, i) })
+	}
 	return nil
 }
 
+// ask has one caller ask a member for work until the fleet is closed.
+func (f *Fleet) ask(c *Child, caller int) {
+	for n := 0; ; n++ {
+		ok := false
+		if address := c.address.Load(); address != nil {
+			try, err := standin.Thrift(*address, "kampanjsida", "", fmt.Sprintf("call %s-%d-%d", c.Name, caller, n))
+			if err == nil {
+				err = try.Send()
+			}
+			if err == nil {
+				_, err = try.Outcome()
+				ok = err == nil
+			}
+		}
+		pause := 20 * time.Millisecond // a member that is not there is asked again a little later
+		if ok {
+			pause = 0
+		}
+		select {
+		case <-f.closed:
+			return
+		case <-time.After(pause):
+		}
+	}
+}
+
 // Launch starts a member's process, anew after it has ended, and returns once
 // it says where it listens.
 func (f *Fleet) Launch(name string) error {
@@ -234,6 +291,14 @@
 	if l.Event == "exited" {
 		return fmt.Errorf("fleettest: %s ended at its start: %s", name, f.Log(name))
 	}
+	if f.Ledger != nil {
+		l, err := f.Await("where "+name+" takes callers", from, func(l Line) bool { return l.Child == name && l.Event == "listening" })
+		if err != nil {
+			return err
+		}
+		address := l.Fields["address"]
+		c.address.Store(&address)
+	}
 	f.Net.Target(name, "raft", l.Fields["raft"])
 	f.Net.Target(name, "gossip", l.Fields["gossip"])
 	f.gossip[name] = l.Fields["gossip"]
@@ -381,12 +446,22 @@
 
 // Close kills all processes and ends what stands around them.
 func (f *Fleet) Close() {
+	close(f.closed)
 	for _, c := range f.Children {
 		if c.cmd != nil && c.cmd.Process != nil {
 			c.cmd.Process.Kill()
 			<-c.exited
 		}
 	}
+	f.callers.Wait()
+	for _, c := range f.Children {
+		if c.processor != nil {
+			c.processor.Close()
+		}
+	}
 	f.Net.Close()
 	f.Registry.Close()
+	if f.Ledger != nil {
+		f.Ledger.Close()
+	}
 }
--- /dev/null
+++ b/program/budget.go
@@ -0,0 +1,117 @@
+package program
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/routing"
+)
+
+// caller hears how calls ended; *routing.Core is one.
+type caller interface {
+	Called(id string, number int, end routing.CallEnd, reply []byte)
+}
+
+// callBudget is the member's part of what the whole fleet may have in hand at
+// the shared dependency; *fleet.Budget is one.
+type callBudget interface {
+	Take() (put func(), ok bool)
+	OnFreed(f func())
+}
+
+// budgetedCalls lets calls go below only within a budget: routing.Dependency
+// over another. What has no room waits its turn; the core gives it up in its
+// time, as it does any call. The module decides which calls to make, and sees
+// those that wait as a slow dependency; the budget only bounds them.
+//
+// A call that was given up, or whose connection broke, may linger below, and is
+// counted for as long.
+type budgetedCalls struct {
+	next   routing.Dependency
+	core   caller
+	budget callBudget
+	linger func() time.Duration
+
+	mu      sync.Mutex
+	waiting []budgetedCall // in the order in which they came
+	out     map[string]budgetedCall
+}
+
+type budgetedCall struct {
+	id     string
+	number int
+	until  time.Time
+	body   []byte
+	put    func() // of one that is out
+}
+
+func newBudgetedCalls(next routing.Dependency, core caller, budget callBudget, linger func() time.Duration) *budgetedCalls {
+	b := &budgetedCalls{next: next, core: core, budget: budget, linger: linger, out: map[string]budgetedCall{}}
+	budget.OnFreed(b.pump)
+	return b
+}
+
+// Call implements routing.Dependency.
+func (b *budgetedCalls) Call(id string, number int, wait time.Duration, body []byte) {
+	b.mu.Lock()
+	b.waiting = append(b.waiting, budgetedCall{id: id, number: number, until: time.Now().Add(wait), body: body})
+	b.mu.Unlock()
+	b.pump()
+}
+
+// pump lets those go that there is room for.
+func (b *budgetedCalls) pump() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	for len(b.waiting) > 0 {
+		k := b.waiting[0]
+		left := time.Until(k.until)
+		if left > 0 {
+			put, ok := b.budget.Take()
+			if !ok {
+				return
+			}
+			k.put = put
+			b.out[k.id] = k
+			b.next.Call(k.id, k.number, left, k.body) // only queues
+		} // else the core is about to give it up
+		b.waiting = b.waiting[1:]
+	}
+}
+
+// Abandon implements routing.Dependency.
+func (b *budgetedCalls) Abandon(id string) {
+	b.mu.Lock()
+	b.waiting = slices.DeleteFunc(b.waiting, func(k budgetedCall) bool { return k.id == id })
+	k, out := b.out[id]
+	delete(b.out, id)
+	b.mu.Unlock()
+	if out {
+		b.next.Abandon(id)
+		time.AfterFunc(b.linger(), func() { b.back(k) })
+	}
+}
+
+// Called implements caller: it stands between the dependency and the core.
+func (b *budgetedCalls) Called(id string, number int, end routing.CallEnd, reply []byte) {
+	b.mu.Lock()
+	k, out := b.out[id]
+	if out = out && k.number == number; out {
+		delete(b.out, id)
+	}
+	b.mu.Unlock()
+	b.core.Called(id, number, end, reply)
+	switch {
+	case out && end == decision.Reset: // nobody knows whether it still runs
+		time.AfterFunc(b.linger(), func() { b.back(k) })
+	case out:
+		b.back(k)
+	}
+}
+
+func (b *budgetedCalls) back(k budgetedCall) {
+	k.put()
+	b.pump()
+}
--- /dev/null
+++ b/program/budget_test.go
@@ -0,0 +1,90 @@
+package program
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/routing"
+)
+
+// rights is a budget of so many.
+type rights struct {
+	left  int
+	freed func()
+}
+
+// Take implements callBudget.
+func (r *rights) Take() (func(), bool) {
+	if r.left == 0 {
+		return nil, false
+	}
+	r.left--
+	return func() { r.left++ }, true
+}
+
+// OnFreed implements callBudget.
+func (r *rights) OnFreed(f func()) { r.freed = f }
+
+// below is a dependency that notes what it is told, and a core that notes what
+// it hears.
+type below struct{ told []string }
+
+// Call implements routing.Dependency.
+func (b *below) Call(id string, number int, wait time.Duration, _ []byte) {
+	b.told = append(b.told, fmt.Sprint("call ", id, number, " ", wait))
+}
+
+// Abandon implements routing.Dependency.
+func (b *below) Abandon(id string) { b.told = append(b.told, "abandon "+id) }
+
+// Called implements caller.
+func (b *below) Called(id string, number int, _ routing.CallEnd, _ []byte) {
+	b.told = append(b.told, fmt.Sprint("called ", id, number))
+}
+
+// TestBudgetedCalls has calls wait for room in order and for what is left of
+// their time, those that are given up or broken count for as long as they may
+// linger, and more rights let more go.
+func TestBudgetedCalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		d, r := &below{}, &rights{left: 2}
+		b := newBudgetedCalls(d, d, r, func() time.Duration { return 200 * time.Millisecond })
+		check := func(want ...string) {
+			t.Helper()
+			if fmt.Sprint(d.told) != fmt.Sprint(want) {
+				t.Errorf("told %q, want %q", d.told, want)
+			}
+			d.told = nil
+		}
+		for _, id := range []string{"a", "b", "c", "d", "e", "f"} {
+			b.Call(id, 1, time.Second, nil)
+		}
+		check("call a1 1s", "call b1 1s")
+		time.Sleep(300 * time.Millisecond)
+		b.Called("a", 1, decision.OK, nil)
+		check("called a1", "call c1 700ms")
+		b.Called("a", 1, decision.OK, nil) // a second reply gives nothing back
+		check("called a1")
+		b.Abandon("d") // it waits
+		b.Abandon("b") // it is out, and lingers
+		check("abandon b")
+		time.Sleep(199 * time.Millisecond)
+		synctest.Wait()
+		check()
+		time.Sleep(time.Millisecond)
+		synctest.Wait()
+		check("call e1 500ms")
+		b.Called("c", 1, decision.Reset, nil) // it may run on
+		check("called c1")
+		r.left++
+		r.freed()
+		check("call f1 500ms")
+		time.Sleep(time.Second)
+		synctest.Wait()
+		b.Call("g", 1, 0, nil) // no time left: the core gives it up
+		check()
+	})
+}
--- a/program/ledger.go
+++ b/program/ledger.go
@@ -23,7 +23,7 @@
 // not too many, because one that breaks or falls silent takes all calls on it
 // along, and nobody knows what became of them.
 type ledgerPool struct {
-	core    *routing.Core
+	core    caller
 	connect func(address string) (net.Conn, error)
 
 	mu      sync.Mutex
--- a/program/metrics.go
+++ b/program/metrics.go
@@ -29,6 +29,8 @@
 //	quincerail_fleet_alive                  members of the fleet that are thought to be alive
 //	quincerail_fleet_owner                  1 while this process owns the lease on the registry's judgement
 //	quincerail_fleet_messages_total         sent to other members; quincerail_fleet_bytes_total likewise
+//	quincerail_fleet_rights                 calls that this member may have in hand, of the fleet's budget
+//	quincerail_fleet_in_hand                of them used
 //	quincerail_fleet_stale_total            pieces of fleet work refused for their token
 type metrics struct {
 	core     atomic.Pointer[routing.Core] // whose open requests are counted, once there is one
@@ -77,6 +79,10 @@
 				}
 				return 0
 			}),
+		gauge("quincerail_fleet_rights", "Calls that this member may have in hand, of the fleet's budget.",
+			func(s fleet.Stats) float64 { return float64(s.Rights) }),
+		gauge("quincerail_fleet_in_hand", "Calls of the fleet's budget that this member has in hand.",
+			func(s fleet.Stats) float64 { return float64(s.InHand) }),
 		count("quincerail_fleet_messages_total", "Messages sent to other members.",
 			func(s fleet.Stats) float64 { return float64(s.Messages) }),
 		count("quincerail_fleet_bytes_total", "Bytes sent to other members.",
--- a/program/operator.cue
+++ b/program/operator.cue
@@ -49,6 +49,13 @@
 		probe_ms: *500 | (int & >=10 & <=60000)
 		slow_ms:  *100 | (int & >=1 & <=60000)
 		publish:  *"" | =~"^http://"
+		// Calls that the whole fleet may have in hand at the shared dependency; 0
+		// for no such bound. The same at each member, as are the two below.
+		budget_calls: *0 | (int & >=0 & <=10000000)
+		// Without word from the budget's owner for so long, a member makes no calls.
+		horizon_ms: *60000 | (int & >=1000 & <=3600000)
+		// The longest that a call is in hand, at the dependency too.
+		hold_ms: *10000 | (int & >=10 & <=600000)
 		// For drills: this member's lease clock runs at such a rate.
 		clock_rate: *1.0 | (number & >=0.5 & <=2)
 	}
@@ -66,6 +73,9 @@
 	if fleet.role != "voter" && len(fleet.voters) > 0 {
 		fleet: voters: error("only a voter talks to the voters")
 	}
+	if fleet.budget_calls > 0 && fleet.hold_ms*2 > fleet.horizon_ms {
+		fleet: hold_ms: error("calls that last half of horizon_ms leave a member that hears little no time to make any")
+	}
 	if fleet.lease_ms*2 < fleet.election_ms {
 		fleet: lease_ms: error("shorter than half of election_ms, the lease would run out at each change of leaders")
 	}
--- a/program/operator.go
+++ b/program/operator.go
@@ -54,6 +54,9 @@
 		Probe     int               `json:"probe_ms"`
 		Slow      int               `json:"slow_ms"`
 		Publish   string            `json:"publish"`
+		Budget    uint64            `json:"budget_calls"`
+		Horizon   int               `json:"horizon_ms"`
+		Hold      int               `json:"hold_ms"`
 		ClockRate float64           `json:"clock_rate"`
 	} `json:"fleet"`
 }
@@ -68,7 +71,8 @@
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
 	f := &fleet.Config{Fleet: x.Name, Self: c.Name, Role: fleet.Role(x.Role), Raft: x.Raft, Gossip: x.Gossip, Dir: x.Dir,
 		Voters: x.Voters, Seeds: x.Seeds, Election: ms(x.Election), Term: ms(x.Lease), Drift: x.Drift, ClockRate: x.ClockRate,
-		Probe: c.Ledger, ProbeEvery: ms(x.Probe), Slow: ms(x.Slow), Publish: x.Publish, Logger: c.Logger}
+		Probe: c.Ledger, ProbeEvery: ms(x.Probe), Slow: ms(x.Slow), Publish: x.Publish, Logger: c.Logger,
+		Budget: x.Budget, Horizon: ms(x.Horizon), Hold: ms(x.Hold)}
 	return f, f.Validate()
 }
 
--- a/program/program.go
+++ b/program/program.go
@@ -110,11 +110,35 @@
 		}
 		opt.Journal = keyJournal{keys}
 	}
+	var member *fleet.Fleet
+	if c.Fleet != nil {
+		var err error
+		if member, err = fleet.Start(*c.Fleet); err != nil {
+			return nil, err
+		}
+		if watch != nil {
+			watch.watchFleet(member)
+		}
+	}
+	started := false
+	defer func() {
+		if !started && member != nil {
+			member.Stop(0)
+		}
+	}()
+	var budgeted *budgetedCalls
+	if member != nil && member.Budget() != nil {
+		budgeted = newBudgetedCalls(pool, nil, member.Budget(), func() time.Duration { return c.Settings.Linger })
+		opt.Dependency = budgeted
+	}
 	core, err := routing.New(opt)
 	if err != nil {
 		return nil, err
 	}
 	link.core, pool.core = core, core
+	if budgeted != nil {
+		budgeted.core, pool.core = core, budgeted
+	}
 	if watch != nil {
 		watch.core.Store(core)
 	}
@@ -123,7 +147,7 @@
 		rules.Replace(c.Rules)
 	}
 	s := &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules), idle: idle,
-		rules: rules, keys: keys, log: logger}
+		rules: rules, keys: keys, log: logger, fleet: member}
 	s.config.Store(c)
 	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
 		return nil, err
@@ -153,18 +177,6 @@
 			return nil, fmt.Errorf("metrics: %w", err)
 		}
 	}
-	if c.Fleet != nil {
-		if s.fleet, err = fleet.Start(*c.Fleet); err != nil {
-			for _, d := range s.doors {
-				d.server.Close()
-			}
-			s.closeMetrics()
-			return nil, err
-		}
-		if watch != nil {
-			watch.watchFleet(s.fleet)
-		}
-	}
 	if s.control != nil {
 		go s.control.Run()
 	}
@@ -179,6 +191,7 @@
 		s.handover = newHandoverDoor(core, c.Name, logger)
 		go s.takeOver(working, c)
 	}
+	started = true
 	return s, nil
 }
 
