Add fleet/rollout, which decides stages and verdicts; let old judgements go unknown

Seen on the way: with events taken as independent, or the servers as alike, a good change was halted in the first stage ("refused is worse"): bursts and the error of a server's past weaken the evidence now.

--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"quincerail.example/quincerail/internal/fleettest"
 	"quincerail.example/quincerail/internal/standin"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/store"
@@ -26,22 +27,7 @@
 
 var binary string
 
-func TestMain(m *testing.M) {
-	os.Exit(func() int {
-		dir, err := os.MkdirTemp("", "quincerail")
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-		defer os.RemoveAll(dir)
-		binary = filepath.Join(dir, "quincerail")
-		if out, err := exec.Command("go", "build", "-buildvcs=false", "-o", binary, ".").CombinedOutput(); err != nil {
-			fmt.Fprintf(os.Stderr, "building: %v\n%s", err, out)
-			return 1
-		}
-		return m.Run()
-	}())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.Main(m, &binary)) }
 
 // node is the built program at work among stand-ins.
 type node struct {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -45,6 +45,7 @@
 	Messages int64 // sent to other members, voters' among them
 	Bytes    int64 // likewise
 	Stale    int   // pieces of fleet work refused for their token
+	State    State // of the shared dependency, as this member knows
 	Rights   int   // calls that this member may have in hand, where there is a budget
 	InHand   int   // of them used
 }
@@ -60,7 +61,7 @@
 	}
 	f.self = lease.Owner{Member: c.Self, Life: newLife()}
 	fence := &lease.Fence{}
-	f.board = &board{log: f.log, fence: fence, latest: map[string]Judgement{}}
+	f.board = &board{log: f.log, fence: fence, latest: map[string]Judgement{}, fresh: 5*c.ProbeEvery + 2*c.Term}
 	began := time.Now()
 	clock := func() time.Duration { return time.Duration(float64(time.Since(began)) * c.ClockRate) }
 	if c.Budget > 0 {
@@ -201,19 +202,13 @@
 	return f.machine.holds(name)
 }
 
-// Judgement is the latest word on the shared dependency that this member has.
-func (f *Fleet) Judgement() Judgement {
-	f.board.mu.Lock()
-	defer f.board.mu.Unlock()
-	if j, ok := f.board.latest[Registry]; ok {
-		return j
-	}
-	return Judgement{Lease: Registry, State: Unknown}
-}
+// Judgement is the latest word on the shared dependency that this member has;
+// its State is Unknown where there was none for five probes and two terms.
+func (f *Fleet) Judgement() Judgement { return f.board.judgement() }
 
 // Stats counts.
 func (f *Fleet) Stats() Stats {
-	s := Stats{Alive: len(f.members.Alive())}
+	s := Stats{Alive: len(f.members.Alive()), State: f.board.judgement().State}
 	_, s.Owner = f.Owner(Registry)
 	s.Messages, s.Bytes = f.members.Sent()
 	if f.mesh != nil {
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -17,21 +17,7 @@
 
 var binary string
 
-func TestMain(m *testing.M) {
-	os.Exit(func() int {
-		dir, err := os.MkdirTemp("", "quincerail")
-		if err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-		defer os.RemoveAll(dir)
-		if binary, err = fleettest.Build(dir); err != nil {
-			fmt.Fprintln(os.Stderr, err)
-			return 1
-		}
-		return m.Run()
-	}())
-}
+func TestMain(m *testing.M) { os.Exit(fleettest.Main(m, &binary)) }
 
 // run is a fleet of five voters and a member that hears only.
 type run struct {
--- a/fleet/judgement.go
+++ b/fleet/judgement.go
@@ -50,10 +50,12 @@
 type board struct {
 	log   *slog.Logger
 	fence *lease.Fence
+	fresh time.Duration // how long a judgement counts without another
 
-	mu     sync.Mutex
-	latest map[string]Judgement
-	stale  int // refused
+	mu      sync.Mutex
+	latest  map[string]Judgement
+	heardAt time.Time // the latest
+	stale   int       // refused
 }
 
 // heard takes in a piece of news.
@@ -75,6 +77,7 @@
 	news = !known || j.later(was)
 	if news {
 		b.latest[j.Lease] = j
+		b.heardAt = time.Now()
 	}
 	b.mu.Unlock()
 	if news && (was.State != j.State || was.Token != j.Token) {
@@ -83,7 +86,22 @@
 	return j.Lease, news
 }
 
-// latest gives the judgements that are known.
+// judgement is the latest; without news of it for a while nothing is known,
+// which is the cautious side: what was good may be so no more.
+func (b *board) judgement() Judgement {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	j, ok := b.latest[Registry]
+	if !ok {
+		j.Lease = Registry
+	}
+	if !ok || time.Since(b.heardAt) > b.fresh {
+		j.State = Unknown
+	}
+	return j
+}
+
+// pieces gives the judgements that are known.
 func (b *board) pieces() [][]byte {
 	b.mu.Lock()
 	defer b.mu.Unlock()
--- /dev/null
+++ b/fleet/rollout/plan.go
@@ -0,0 +1,125 @@
+// Package rollout decides how a change of the program, or of its settings, goes
+// out in stages: which servers get it next, whether a stage does worse than the
+// servers that it is compared with, and when all goes back. It does no I/O and
+// reads no clock; its State is a plain record that a new owner of the fleet's
+// lease goes on from.
+//
+// Each stage's cohort is compared with the servers that keep the old version,
+// over the same windows of time, by sequential tests (see test.go). What is not
+// reported is never taken for good: a stage waits for it, and in the end goes
+// back.
+package rollout
+
+import (
+	"cmp"
+	"fmt"
+	"hash/fnv"
+	"slices"
+)
+
+// Server is one that a plan covers.
+type Server struct {
+	Name string `json:"name"`
+	Zone string `json:"zone"`
+}
+
+// Stage is a part of the fleet that gets the change, and what it must show
+// before the next one does.
+type Stage struct {
+	Share    float64 `json:"share"`    // of all servers that have the change by the end of it; at least one does
+	Bake     int     `json:"bake"`     // windows that it serves at least
+	Sample   uint64  `json:"sample"`   // requests that the cohort answers at least
+	Patience int     `json:"patience"` // windows after which it goes back if it has not shown enough
+}
+
+// Plan is a change and how it goes out.
+type Plan struct {
+	ID      string   `json:"id"` // draws the order of the servers too
+	From    string   `json:"from"`
+	To      string   `json:"to"`
+	Servers []Server `json:"servers"`
+	Stages  []Stage  `json:"stages"` // shares that grow, the last of them 1
+	// Watch is how many windows the servers are watched before the first stage:
+	// each is compared with what it was itself, as machines differ.
+	Watch  int    `json:"watch"`
+	Limits Limits `json:"limits"`
+}
+
+// Limits are what the tests are made of.
+type Limits struct {
+	// Worse is the ratio of rates that a stage must not have: 1.2 is a fifth
+	// more late answers than the old servers.
+	Worse float64 `json:"worse"`
+	// Mistaken is the chance, over a whole plan, that a change which does no
+	// worse is halted, and Missed that one which is worse by Worse passes a test.
+	Mistaken float64 `json:"mistaken"`
+	Missed   float64 `json:"missed"`
+	// Least is a share of the requests that no test minds: what is rarer is too
+	// rare to be compared.
+	Least float64 `json:"least"`
+}
+
+// DefaultStages are one server, then 5%, 25%, 50% and all.
+func DefaultStages() []Stage {
+	return []Stage{{0, 20, 2000, 900}, {0.05, 20, 10000, 900}, {0.25, 10, 50000, 300}, {0.5, 10, 100000, 300}, {1, 1, 0, 120}}
+}
+
+// DefaultLimits hold a change to a fifth worse, with one in a hundred halted by
+// mistake.
+func DefaultLimits() Limits { return Limits{Worse: 1.2, Mistaken: 0.01, Missed: 0.001, Least: 0.004} }
+
+// Validate gives an error that names what makes no sense.
+func (p *Plan) Validate() error {
+	l := p.Limits
+	switch {
+	case p.ID == "" || p.From == "" || p.To == "" || p.From == p.To:
+		return fmt.Errorf("rollout: id %q, from %q, to %q: three names wanted, and two versions", p.ID, p.From, p.To)
+	case len(p.Servers) < 2:
+		return fmt.Errorf("rollout: %d servers, 2 at least wanted, to compare", len(p.Servers))
+	case len(p.Stages) == 0 || p.Stages[len(p.Stages)-1].Share != 1:
+		return fmt.Errorf("rollout: the last stage must have the share 1")
+	case !(l.Worse > 1 && l.Worse <= 10) || !(l.Mistaken > 0 && l.Mistaken < 0.5) || !(l.Missed > 0 && l.Missed < 0.5) || !(l.Least >= 0 && l.Least < 1) || p.Watch < 1:
+		return fmt.Errorf("rollout: limits %+v or watch %d make no sense", l, p.Watch)
+	}
+	names := map[string]bool{}
+	for _, s := range p.Servers {
+		if s.Name == "" || names[s.Name] {
+			return fmt.Errorf("rollout: server %q is named twice or not at all", s.Name)
+		}
+		names[s.Name] = true
+	}
+	for i, s := range p.Stages {
+		if s.Share < 0 || s.Share > 1 || i > 0 && s.Share <= p.Stages[i-1].Share || s.Bake < 1 || s.Patience < s.Bake {
+			return fmt.Errorf("rollout: stage %d: %+v: a share that grows, a bake and no less patience wanted", i, s)
+		}
+	}
+	return nil
+}
+
+// order is the servers in the order in which they get the change: from one zone
+// after the other, so that each stage is spread over all, drawn by the plan's ID.
+func (p *Plan) order() []Server {
+	rank := func(text string) uint64 {
+		h := fnv.New64a()
+		h.Write([]byte(p.ID + " " + text))
+		return h.Sum64()
+	}
+	out := slices.Clone(p.Servers)
+	slices.SortFunc(out, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(rank(a.Name), rank(b.Name)), cmp.Compare(a.Name, b.Name))
+	})
+	turn, seen := map[string]int{}, map[string]int{}
+	for _, s := range out {
+		turn[s.Name] = seen[s.Zone]
+		seen[s.Zone]++
+	}
+	slices.SortStableFunc(out, func(a, b Server) int {
+		return cmp.Or(cmp.Compare(turn[a.Name], turn[b.Name]), cmp.Compare(rank(a.Zone), rank(b.Zone)))
+	})
+	return out
+}
+
+// upTo is how many servers have the change by the end of a stage.
+func (p *Plan) upTo(stage int) int {
+	return min(len(p.Servers), max(1, int(p.Stages[stage].Share*float64(len(p.Servers)))))
+}
--- /dev/null
+++ b/fleet/rollout/trial/trial_test.go
@@ -0,0 +1,60 @@
+package trial
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+
+	"quincerail.example/quincerail/fleet/rollout"
+)
+
+func config(seed uint64) Config {
+	return Config{Seed: seed, Rate: 110, Late: 1, Failed: 1, Slow: 1, Windows: 4000,
+		Plan: rollout.Plan{ID: "r1", From: "v1", To: "v2", Servers: Servers(60), Stages: rollout.DefaultStages(), Watch: 300,
+			Limits: rollout.DefaultLimits()}}
+}
+
+// reread gives a state as a new owner reads it from the log.
+func reread(t *testing.T) func(rollout.State) rollout.State {
+	return func(s rollout.State) (back rollout.State) {
+		b, err := json.Marshal(s)
+		if err == nil {
+			err = json.Unmarshal(b, &back)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		return back
+	}
+}
+
+// TestOutcomes plays changes of each kind, with a new owner after every window.
+func TestOutcomes(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		change  func(*Config)
+		phase   rollout.Phase
+		reached float64
+		reason  string
+	}{
+		{"good", func(*Config) {}, rollout.Done, 1, ""},
+		{"late", func(c *Config) { c.Late = 1.2 }, rollout.Halted, 0.05, "late is worse"},
+		{"failing", func(c *Config) { c.Failed = 4 }, rollout.Halted, 0.05, "failed is worse"},
+		{"slow", func(c *Config) { c.Slow = 1.2 }, rollout.Halted, 0.05, "slow is worse"},
+		{"crashing", func(c *Config) { c.Crashes = 0.1 }, rollout.Halted, 0.05, "crashes"},
+		{"bad when mixed", func(c *Config) { c.Mixed = 0.5 }, rollout.Halted, 0.05, "old-failed"},
+		{"zone without word", func(c *Config) { c.Silent = "zone1" }, rollout.Halted, 0.05, "did not come to run v2"},
+		{"rollback fails", func(c *Config) { c.Late, c.Stuck, c.Windows = 2, "s000", 1500 }, rollout.Halted, 0.05, "late is worse"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			t.Parallel()
+			x := config(1)
+			c.change(&x)
+			out := Run(x, reread(t))
+			if out.State.Phase != c.phase || out.Reached > c.reached || !strings.Contains(out.State.Reason, c.reason) || c.phase == rollout.Halted && out.Left > 0 {
+				t.Errorf("%s at stage %d after %d windows, reached %.2f, %d left: %s", out.State.Phase, out.State.Stage, out.Windows,
+					out.Reached, out.Left, out.State.Reason)
+			}
+		})
+	}
+}
--- a/internal/fleetlab/main.go
+++ b/internal/fleetlab/main.go
@@ -5,6 +5,7 @@
 //	go run ./internal/fleetlab failover --trials 100
 //	go run ./internal/fleetlab traffic --members 295
 //	go run ./internal/fleetlab share
+//	go run ./internal/fleetlab rollout
 package main
 
 import (
@@ -32,6 +33,7 @@
 	Failover failoverCmd `cmd:"" help:"Time from an owner's end to the next owner's first act."`
 	Traffic  trafficCmd  `cmd:"" help:"Messages, bytes and CPU time of each member of a fleet at rest."`
 	Share    shareCmd    `cmd:"" help:"Partitions of fleets on the emulator: a table, and charts."`
+	Rollout  rolloutCmd  `cmd:"" help:"Rollouts of good and bad changes on a made-up fleet."`
 }
 
 func main() {
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -34,6 +34,22 @@
 	return path, nil
 }
 
+// Main runs a package's tests (a *testing.M) with the program built for them,
+// and gives their exit code.
+func Main(tests interface{ Run() int }, binary *string) int {
+	dir, err := os.MkdirTemp("", "quincerail")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	if *binary, err = Build(dir); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	return tests.Run()
+}
+
 // Options are what a fleet is made of.
 type Options struct {
 	Binary  string // of Build
--- a/program/metrics.go
+++ b/program/metrics.go
@@ -29,6 +29,7 @@
 //	quincerail_fleet_alive                  members of the fleet that are thought to be alive
 //	quincerail_fleet_owner                  1 while this process owns the lease on the registry's judgement
 //	quincerail_fleet_messages_total         sent to other members; quincerail_fleet_bytes_total likewise
+//	quincerail_fleet_dependency             how the shared dependency stands: 0 unknown, 1 good, 2 slow, 3 down
 //	quincerail_fleet_rights                 calls that this member may have in hand, of the fleet's budget
 //	quincerail_fleet_in_hand                of them used
 //	quincerail_fleet_stale_total            pieces of fleet work refused for their token
@@ -79,6 +80,10 @@
 				}
 				return 0
 			}),
+		gauge("quincerail_fleet_dependency", "How the shared dependency stands: 0 unknown, 1 good, 2 slow, 3 down.",
+			func(s fleet.Stats) float64 {
+				return map[fleet.State]float64{fleet.Good: 1, fleet.Slow: 2, fleet.Down: 3}[s.State]
+			}),
 		gauge("quincerail_fleet_rights", "Calls that this member may have in hand, of the fleet's budget.",
 			func(s fleet.Stats) float64 { return float64(s.Rights) }),
 		gauge("quincerail_fleet_in_hand", "Calls of the fleet's budget that this member has in hand.",
