--- a/program/budget_test.go
+++ b/program/budget_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -12,17 +13,26 @@
 
 // rights is a budget of so many.
 type rights struct {
+	mu    sync.Mutex
 	left  int
 	freed func()
 }
 
+func (r *rights) add(n int) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.left += n
+}
+
 // Take implements callBudget.
 func (r *rights) Take() (func(), bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	if r.left == 0 {
 		return nil, false
 	}
 	r.left--
-	return func() { r.left++ }, true
+	return func() { r.add(1) }, true
 }
 
 // OnFreed implements callBudget.
@@ -30,19 +40,28 @@
 
 // below is a dependency that notes what it is told, and a core that notes what
 // it hears.
-type below struct{ told []string }
+type below struct {
+	mu   sync.Mutex
+	told []string
+}
+
+func (b *below) tell(what string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.told = append(b.told, what)
+}
 
 // Call implements routing.Dependency.
 func (b *below) Call(id string, number int, wait time.Duration, _ []byte) {
-	b.told = append(b.told, fmt.Sprint("call ", id, number, " ", wait))
+	b.tell(fmt.Sprint("call ", id, number, " ", wait))
 }
 
 // Abandon implements routing.Dependency.
-func (b *below) Abandon(id string) { b.told = append(b.told, "abandon "+id) }
+func (b *below) Abandon(id string) { b.tell("abandon " + id) }
 
 // Called implements caller.
 func (b *below) Called(id string, number int, _ routing.CallEnd, _ []byte) {
-	b.told = append(b.told, fmt.Sprint("called ", id, number))
+	b.tell(fmt.Sprint("called ", id, number))
 }
 
 // TestBudgetedCalls has calls wait for room in order and for what is left of
@@ -54,6 +73,8 @@
 		b := newBudgetedCalls(d, d, r, func() time.Duration { return 200 * time.Millisecond })
 		check := func(want ...string) {
 			t.Helper()
+			d.mu.Lock()
+			defer d.mu.Unlock()
 			if fmt.Sprint(d.told) != fmt.Sprint(want) {
 				t.Errorf("told %q, want %q", d.told, want)
 			}
@@ -79,7 +100,7 @@
 		check("call e1 500ms")
 		b.Called("c", 1, decision.Reset, nil) // it may run on
 		check("called c1")
-		r.left++
+		r.add(1)
 		r.freed()
 		check("call f1 500ms")
 		time.Sleep(time.Second)
