Tell what was given to the one it was given to, and what is lacked to all, soon

Cause: every gift changed the giver's row, and all of the row, with up to 64 partners, went to all: two or three rows filled a message.

--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -38,6 +38,7 @@
 	log    *slog.Logger
 	clock  func() time.Duration
 	tell   func(about string, piece []byte)
+	send   func(to string, piece []byte)
 
 	mu     sync.Mutex
 	member *share.Member
@@ -47,8 +48,8 @@
 	freed  func()
 }
 
-func newBudget(c *Config, log *slog.Logger, clock func() time.Duration, tell func(string, []byte)) (*Budget, error) {
-	b := &Budget{name: c.Self, total: c.Budget, log: log, clock: clock, tell: tell, freed: func() {},
+func newBudget(c *Config, log *slog.Logger, clock func() time.Duration, tell, send func(string, []byte)) (*Budget, error) {
+	b := &Budget{name: c.Self, total: c.Budget, log: log, clock: clock, tell: tell, send: send, freed: func() {},
 		timing: c.horizon()}
 	return b, b.begin()
 }
@@ -179,8 +180,9 @@
 			b.log.Error("fleet_share", "error", err.Error())
 		}
 	}
-	if i := b.member.Tick(now); i != nil {
-		out = append(out, *i)
+	said, gifts := b.member.Tick(now)
+	if said != nil {
+		out = append(out, *said)
 	}
 	token, keeps := lease.Token{}, false
 	if m != nil {
@@ -208,6 +210,14 @@
 	freed := b.freed
 	b.mu.Unlock()
 	b.spread(out)
+	for _, g := range gifts {
+		piece, err := cbor.Marshal(g.Item)
+		if err != nil {
+			b.log.Error("fleet_share", "error", err.Error())
+			continue
+		}
+		b.send(g.To.Member, append([]byte{newsShare}, piece...))
+	}
 	freed()
 	var commands [][]byte
 	for _, o := range orders {
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -66,7 +66,7 @@
 	clock := func() time.Duration { return time.Duration(float64(time.Since(began)) * c.ClockRate) }
 	if c.Budget > 0 {
 		var err error
-		if f.budget, err = newBudget(&c, f.log, clock, f.tell); err != nil {
+		if f.budget, err = newBudget(&c, f.log, clock, f.tell, f.send); err != nil {
 			return nil, err
 		}
 	}
@@ -169,6 +169,15 @@
 	}
 }
 
+// send gives a piece of news to one member only, once, if it arrives.
+func (f *Fleet) send(to string, piece []byte) {
+	select {
+	case <-f.joined:
+		f.members.Send(to, piece)
+	default:
+	}
+}
+
 // Budget is this member's part of the fleet's budget, nil where there is none.
 func (f *Fleet) Budget() *Budget { return f.budget }
 
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -45,6 +45,7 @@
 	list  *memberlist.Memberlist
 	queue memberlist.TransmitLimitedQueue
 	seeds []string
+	log   *slog.Logger
 	sent  *counts
 	stop  chan struct{}
 	done  chan struct{}
@@ -80,7 +81,7 @@
 	if err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
-	m := &Members{sent: &counts{}, stop: make(chan struct{}), done: make(chan struct{})}
+	m := &Members{log: log, sent: &counts{}, stop: make(chan struct{}), done: make(chan struct{})}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Label, c.Logger = opt.Self, opt.Fleet, remarks
 	c.BindAddr, c.BindPort = host, udp.GetAutoBindPort()
@@ -102,7 +103,7 @@
 		}
 	}
 	sort.Strings(m.seeds)
-	go m.join(log)
+	go m.join()
 	return m, nil
 }
 
@@ -136,6 +137,19 @@
 	m.queue.QueueBroadcast(broadcast{about, piece})
 }
 
+// Send gives a piece of news to one member by name, as a datagram that may be
+// lost. It does nothing where the member is not known.
+func (m *Members) Send(to string, piece []byte) {
+	for _, n := range m.list.Members() {
+		if n.Name == to {
+			if err := m.list.SendBestEffort(n, piece); err != nil {
+				m.log.Debug("fleet_send", "to", to, "error", err.Error())
+			}
+			return
+		}
+	}
+}
+
 // Stop takes leave of the others, waits for that to spread for a time at most,
 // and ends.
 func (m *Members) Stop(within time.Duration) error {
@@ -153,7 +167,7 @@
 
 // join joins the seeds, and joins again those that are not known as alive: a
 // member that everybody else took for dead hears of nobody.
-func (m *Members) join(log *slog.Logger) {
+func (m *Members) join() {
 	defer close(m.done)
 	for ticker := time.NewTicker(rejoinEvery); ; {
 		alive := map[string]bool{}
@@ -163,7 +177,7 @@
 		for _, seed := range m.seeds {
 			if name, _, _ := strings.Cut(seed, "/"); !alive[name] {
 				if _, err := m.list.Join([]string{seed}); err != nil {
-					log.Debug("fleet_join", "seed", seed, "error", err.Error())
+					m.log.Debug("fleet_join", "seed", seed, "error", err.Error())
 				}
 			}
 		}
--- a/fleet/share/emulate/emulate.go
+++ b/fleet/share/emulate/emulate.go
@@ -239,9 +239,16 @@
 				panic(err) // the timing was right before
 			}
 		}
-		if item := n.m.Tick(f.clock(n)); item != nil {
+		item, gifts := n.m.Tick(f.clock(n))
+		if item != nil {
 			f.send(n, *item)
 		}
+		for _, g := range gifts {
+			if to := f.place(g.To); to >= 0 {
+				n.bytes += f.size(g.Item)
+				f.post(letter{to: to, group: n.group, items: []share.Item{g.Item}})
+			}
+		}
 		if i == f.owner {
 			f.keep(n)
 		}
@@ -325,6 +332,20 @@
 	for _, i := range l.items {
 		n.bytes += f.size(i)
 	}
+	f.post(l)
+}
+
+// place finds where a life is, -1 if it is over.
+func (f *Fleet) place(id share.ID) int {
+	var i int
+	if _, err := fmt.Sscanf(id.Member, "n%d", &i); err != nil || f.nodes[i].id != id {
+		return -1
+	}
+	return i
+}
+
+// post has a message arrive, or what else becomes of it.
+func (f *Fleet) post(l letter) {
 	switch p := f.rng.Float64(); {
 	case p < f.conf.Loss:
 	case p < f.conf.Loss+f.conf.Double:
--- a/fleet/share/member.go
+++ b/fleet/share/member.go
@@ -128,14 +128,24 @@
 // rises at once and falls slowly, so that rights don't wander with each gap.
 const wantMemory = 0.9
 
-// Tick has the member give what it can spare to those that lack, and gives
-// its row where there is something new to say; else nil. It is to be called
-// steadily, a few times a second.
-func (m *Member) Tick(now time.Duration) *Item {
+// Gift is a part of the member's row that matters to one other only: what it
+// has given it. It goes to that one directly; should it be lost, the whole row
+// tells of it later.
+type Gift struct {
+	To   ID
+	Item Item
+}
+
+// Tick has the member give what it can spare to those that lack, and gives what
+// it has to say: to all, without what it has given, where there is something
+// new (else nil), and to single others. It is to be called steadily, a few times
+// a second. How often it speaks goes with Timing.Beat: what it lacks is said
+// soon, what it can spare later.
+func (m *Member) Tick(now time.Duration) (all *Item, gifts []Gift) {
 	m.want = max(float64(m.peak)+min(float64(m.refused), max(4, float64(m.peak))), m.want*wantMemory)
 	m.peak, m.refused = m.used, 0
 	if m.Fenced() {
-		return nil
+		return nil, nil
 	}
 	rights := m.Rights()
 	want := uint64(m.want + 0.5)
@@ -146,24 +156,51 @@
 		need = want - min(want, rights)
 	}
 	if now < m.until { // one that hears nothing gives nothing either
-		spare -= m.give(spare)
-	}
-	if differs(spare, m.row.Spare) || differs(need, m.row.Need) {
-		m.row.Spare, m.row.Need, m.changed = spare, need, true
+		gifts = m.give(spare)
+		for _, g := range gifts {
+			spare -= g.Item.Row.Given[g.To] - m.state.Rows[m.self].givenTo(g.To)
+		}
 	}
-	if !m.changed && now-m.said < m.timing.Beat && m.row.Beat > 0 {
-		return nil
+	quiet := now - m.said
+	switch {
+	case m.row.Beat == 0, m.changed, quiet >= m.timing.Beat:
+	case differs(need, m.row.Need) && quiet >= m.timing.Beat/needSoon:
+	case differs(spare, m.row.Spare) && quiet >= m.timing.Beat/spareSoon:
+	default:
+		if len(gifts) > 0 { // the whole row, for those who ask later
+			m.keep()
+		}
+		return nil, gifts
 	}
-	m.changed = false
-	m.said = now
+	m.row.Spare, m.row.Need, m.changed, m.said = spare, need, false, now
 	m.row.Beat++
 	m.beats = append(m.beats, beat{m.row.Beat, now})
 	if len(m.beats) > mostBeats { // the oldest is of little use by now
 		m.beats = slices.Delete(m.beats, 1, 2)
 	}
+	m.keep()
+	said := m.row
+	said.Given = nil
+	return &Item{Of: m.self, Row: &said}, gifts
+}
+
+// What has changed is said so many times as often as a beat, at most.
+const (
+	needSoon  = 8
+	spareSoon = 2
+)
+
+// keep puts the member's row into its state.
+func (m *Member) keep() {
 	row := m.row
 	m.state.Rows[m.self] = &row
-	return &Item{Of: m.self, Row: &row}
+}
+
+func (r *Row) givenTo(id ID) uint64 {
+	if r == nil {
+		return 0
+	}
+	return r.Given[id]
 }
 
 // differs tells whether a figure has moved enough to be said again: by a
@@ -175,12 +212,11 @@
 // mostBeats is how many beats are remembered as not acked.
 const mostBeats = 256
 
-// give gives spare rights away, and how many it gave. All that can spare give
-// the same part of it, as much as makes up what all lack, each to a member drawn
-// by what that lacks.
-func (m *Member) give(spare uint64) (given uint64) {
+// give gives spare rights away. All that can spare give the same part of it, as
+// much as makes up what all lack, each to a member drawn by what that lacks.
+func (m *Member) give(spare uint64) (gifts []Gift) {
 	if spare == 0 {
-		return 0
+		return nil
 	}
 	var needs, spares uint64
 	var ids []ID
@@ -196,7 +232,7 @@
 		}
 	}
 	if needs == 0 {
-		return 0
+		return nil
 	}
 	slices.SortFunc(ids, compareIDs) // maps have no order, draws must
 	part := float64(spare) * min(1, float64(needs)/float64(spares+spare))
@@ -215,10 +251,13 @@
 			m.row.Given = map[ID]uint64{}
 		}
 		m.row.Given[ids[i]] += n
-		left, given = left-n, given+n
-		m.changed, m.stale = true, true
+		left -= n
+		m.stale = true
+		total := map[ID]uint64{ids[i]: m.row.Given[ids[i]]}
+		gifts = slices.DeleteFunc(gifts, func(g Gift) bool { return g.To == ids[i] })
+		gifts = append(gifts, Gift{ids[i], Item{Of: m.self, Row: &Row{Given: total}}})
 	}
-	return given
+	return gifts
 }
 
 func compareIDs(a, b ID) int {
@@ -226,7 +265,8 @@
 }
 
 // Merge takes an item in, from anybody, and gives what of it was news and is
-// to be passed on; false where nothing was.
+// to be passed on; false where nothing is. What members gave each other is not:
+// it matters to the two alone.
 func (m *Member) Merge(i Item, now time.Duration) (Item, bool) {
 	if i.Of == m.self {
 		i.Row = nil // nobody knows better
@@ -241,22 +281,17 @@
 	}
 	if i.Of == m.self {
 		m.acked(m.state.Accounts[m.self].Acked)
-		for id := range m.row.Closed {
-			m.close(id, m.state.Accounts[id])
-		}
 	} else if a := m.state.Accounts[i.Of]; a != nil && a.Fenced && news.Account != nil {
 		m.close(i.Of, a)
 	}
-	return news, true
-}
-
-func (m *Member) folded(id ID) bool {
-	a := m.state.Accounts[m.self]
-	if a == nil {
-		return false
+	if news.Row != nil && i.Row.Beat > 0 && (was == nil || was.Beat < i.Row.Beat) {
+		said := *i.Row
+		said.Given = nil
+		news.Row = &said
+	} else {
+		news.Row = nil
 	}
-	_, ok := a.Folds[id]
-	return ok
+	return news, news.Row != nil || news.Account != nil
 }
 
 // acked notes that the keeper has heard a beat.
@@ -268,25 +303,19 @@
 }
 
 // close reports what the member has to do with one that was fenced: from now
-// on it takes no more of its gifts in. The report stays until it has done its
-// work, as long as it says anything.
+// on it takes no more of its gifts in.
 func (m *Member) close(id ID, a *Account) {
-	c, closed := m.row.Closed[id]
-	switch {
-	case !closed && !a.Settled:
-		if row := m.state.Rows[id]; row != nil {
-			c.In = row.Given[m.self]
-		}
-		c.Out = m.row.Given[id]
-		m.row.Closed = maps.Clone(m.row.Closed)
-		if m.row.Closed == nil {
-			m.row.Closed = map[ID]Closing{}
-		}
-		m.row.Closed[id] = c
-		m.changed, m.stale = true, true
-	case closed && a.Settled && (c == (Closing{}) || m.folded(id)):
-		m.row.Closed = maps.Clone(m.row.Closed)
-		delete(m.row.Closed, id)
-		m.changed = true
+	if _, closed := m.row.Closed[id]; closed || a.Settled {
+		return
+	}
+	c := Closing{Out: m.row.Given[id]}
+	if row := m.state.Rows[id]; row != nil {
+		c.In = row.Given[m.self]
+	}
+	m.row.Closed = maps.Clone(m.row.Closed)
+	if m.row.Closed == nil {
+		m.row.Closed = map[ID]Closing{}
 	}
+	m.row.Closed[id] = c
+	m.changed, m.stale = true, true
 }
--- a/fleet/share/share.go
+++ b/fleet/share/share.go
@@ -67,8 +67,9 @@
 	Out uint64 `cbor:"2,keyasint,omitempty"`
 }
 
-// Row is what one life of a member says of itself; nobody else writes it. Rows
-// are not changed once they are part of a State.
+// Row is what one life of a member says of itself; nobody else writes it. A row
+// may come in parts: what only grows is joined part by part, and Spare and Need
+// are those of the latest Beat. Rows are not changed once they are part of a State.
 type Row struct {
 	Beat   uint64         `cbor:"1,keyasint"`           // grows with each change
 	Spare  uint64         `cbor:"2,keyasint,omitempty"` // rights it could give
@@ -137,8 +138,8 @@
 	}
 	if r.Beat == o.Beat { // the same, or a fault of its writer's
 		r.Spare, r.Need = max(r.Spare, o.Spare), max(r.Need, o.Need)
-		r.Closed = joinMax(r.Closed, o.Closed, maxClosing)
 	}
+	r.Closed = joinMax(r.Closed, o.Closed, maxClosing)
 	r.Given = joinMax(r.Given, o.Given, maxOf[uint64])
 	r.Counts = joinMax(r.Counts, o.Counts, maxPN)
 	return r
@@ -209,11 +210,9 @@
 	if r.Beat < o.Beat || r.Beat == o.Beat && (r.Spare < o.Spare || r.Need < o.Need) {
 		return false
 	}
-	if r.Beat == o.Beat {
-		for id, c := range o.Closed {
-			if x, ok := r.Closed[id]; !ok || x.In < c.In || x.Out < c.Out {
-				return false
-			}
+	for id, c := range o.Closed {
+		if x, ok := r.Closed[id]; !ok || x.In < c.In || x.Out < c.Out {
+			return false
 		}
 	}
 	for id, n := range o.Given {
