--- a/internal/fleetlab/share.go
+++ b/internal/fleetlab/share.go
@@ -25,7 +25,7 @@
 const (
 	warmRounds = 200
 	cutRounds  = 100
-	healRounds = 200
+	healRounds = 250
 	roundTime  = 200 * time.Millisecond
 )
 
@@ -129,11 +129,11 @@
 	out.cut = run(cutRounds, 0)
 	f.Partition(func(int) int { return 0 })
 	marks := f.Marks()
-	for out.rounds < healRounds/4 && !f.Know(marks) {
+	for out.rounds < healRounds/2 && !f.Know(marks) {
 		run(1, 0)
 		out.rounds++
 	}
-	out.again = run(healRounds-out.rounds, healRounds/2)
+	out.again = run(healRounds-out.rounds, (healRounds-out.rounds)/2)
 	out.overshoot, out.bytes = f.Overshoot(), f.SentBytes()/(float64(round)*roundTime.Seconds())
 	return out, nil
 }
