Pack the budget's news in one place, and read the member list safely while it is made

Read again: the same encoding stood three times in fleet/budget.go; gossip's count was asked by the library's goroutines while Create had not returned (a race by reading, not seen); fault.Net.Partition had no caller.

--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -137,22 +137,30 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for _, i := range items(b.member.State()) {
-		if piece, err := cbor.Marshal(i); err == nil {
+		if piece := b.pack(i); piece != nil {
 			out = append(out, piece)
 		}
 	}
 	return out
 }
 
+// pack gives an item as a piece of news; nil where that fails, which the log
+// tells.
+func (b *Budget) pack(i share.Item) []byte {
+	piece, err := cbor.Marshal(i)
+	if err != nil {
+		b.log.Error("fleet_share", "error", err.Error())
+		return nil
+	}
+	return append([]byte{newsShare}, piece...)
+}
+
 // spread tells the others, outside the lock.
 func (b *Budget) spread(is []share.Item) {
 	for _, i := range is {
-		piece, err := cbor.Marshal(i)
-		if err != nil {
-			b.log.Error("fleet_share", "error", err.Error())
-			continue
+		if piece := b.pack(i); piece != nil {
+			b.tell(aboutItem(i), piece)
 		}
-		b.tell(aboutItem(i), append([]byte{newsShare}, piece...))
 	}
 }
 
@@ -211,12 +219,9 @@
 	b.mu.Unlock()
 	b.spread(out)
 	for _, g := range gifts {
-		piece, err := cbor.Marshal(g.Item)
-		if err != nil {
-			b.log.Error("fleet_share", "error", err.Error())
-			continue
+		if piece := b.pack(g.Item); piece != nil {
+			b.send(g.To.Member, piece)
 		}
-		b.send(g.To.Member, append([]byte{newsShare}, piece...))
 	}
 	freed()
 	var commands [][]byte
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -153,9 +153,7 @@
 		out = append(out, append([]byte{newsJudgement}, p...))
 	}
 	if n.f.budget != nil {
-		for _, p := range n.f.budget.latest() {
-			out = append(out, append([]byte{newsShare}, p...))
-		}
+		out = append(out, n.f.budget.latest()...)
 	}
 	return out
 }
@@ -217,7 +215,7 @@
 
 // Stats counts.
 func (f *Fleet) Stats() Stats {
-	s := Stats{Alive: len(f.members.Alive()), State: f.board.judgement().State}
+	s := Stats{Alive: len(f.members.Alive()), State: f.Judgement().State}
 	_, s.Owner = f.Owner(Registry)
 	s.Messages, s.Bytes = f.members.Sent()
 	if f.mesh != nil {
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -42,13 +42,14 @@
 
 // Members is a member at work.
 type Members struct {
-	list  *memberlist.Memberlist
-	queue memberlist.TransmitLimitedQueue
-	seeds []string
-	log   *slog.Logger
-	sent  *counts
-	stop  chan struct{}
-	done  chan struct{}
+	list    *memberlist.Memberlist
+	created atomic.Pointer[memberlist.Memberlist] // the same, once there is one
+	queue   memberlist.TransmitLimitedQueue
+	seeds   []string
+	log     *slog.Logger
+	sent    *counts
+	stop    chan struct{}
+	done    chan struct{}
 }
 
 // counts are what went over the network: datagrams sent, and both ways of the
@@ -97,6 +98,7 @@
 		udp.Shutdown()
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
+	m.created.Store(m.list)
 	for name, address := range opt.Seeds {
 		if name != opt.Self {
 			m.seeds = append(m.seeds, name+"/"+address)
@@ -120,11 +122,12 @@
 	return names
 }
 
+// count is asked by the library's goroutines, also before Create has returned.
 func (m *Members) count() int {
-	if m.list == nil {
-		return 1
+	if l := m.created.Load(); l != nil {
+		return l.NumMembers()
 	}
-	return m.list.NumMembers()
+	return 1
 }
 
 // Sent gives how many datagrams and streams, and bytes of both, went over the
--- a/internal/fault/fault.go
+++ b/internal/fault/fault.go
@@ -99,15 +99,6 @@
 // Heal lets all pass again.
 func (n *Net) Heal() { n.Set(Rule{}, func(*Pair) bool { return true }) }
 
-// Partition cuts every direction between one of the parties named and the others.
-func (n *Net) Partition(side ...string) {
-	in := map[string]bool{}
-	for _, s := range side {
-		in[s] = true
-	}
-	n.Set(Rule{Cut: true}, func(p *Pair) bool { return in[p.From] != in[p.To] })
-}
-
 // Target has every direction to a party, for one kind of traffic, lead to an address.
 func (n *Net) Target(to, kind, address string) {
 	n.mu.Lock()
