Bound repeats by a fleet budget, tell the module its share, count answers over the fleet

A repeat keeps its right for a second, so the escrow that bounds calls bounds any second's repeats too. Answers are counted in the members' rows.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -138,6 +138,13 @@
 	Conns   float64 // open connections
 }
 
+// Bounds are a server's part of what its fleet shares, as it stands. They only
+// bound what the module decides by itself.
+type Bounds struct {
+	Calls  float64     // that may be in hand below at any instant
+	Repeat func() bool // takes one of the repeats of calls that are left, if any; nil for no bound
+}
+
 // Host carries out an instance's actions, in the order in which they come.
 type Host interface {
 	Run(id string)
--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -28,10 +28,17 @@
 	return binary.BigEndian.Uint64(b[:])>>1 + 1
 }
 
-// Budget is this member's part of the calls that the whole fleet may have in
-// hand at the shared dependency (package share). Its methods are safe for
-// concurrent use.
+// The fleet's budgets.
+const (
+	Calls   = "calls"   // in hand at the shared dependency
+	Repeats = "repeats" // made in any second
+)
+
+// Budget is this member's part of what the whole fleet may have in hand of some
+// kind (package share). Its methods are safe for concurrent use.
 type Budget struct {
+	kind   string
+	news   byte // first byte of its pieces of news
 	name   string
 	timing share.Timing
 	total  uint64
@@ -46,11 +53,13 @@
 	token  lease.Token   // under which
 	asked  time.Duration // when orders were sent that have not come back yet; 0 for none
 	freed  func()
+	ticked func(may uint64)
+	counts map[string]uint64 // counted since the last tick
 }
 
-func newBudget(c *Config, log *slog.Logger, clock func() time.Duration, tell, send func(string, []byte)) (*Budget, error) {
-	b := &Budget{name: c.Self, total: c.Budget, log: log, clock: clock, tell: tell, send: send, freed: func() {},
-		timing: c.horizon()}
+func newBudget(kind string, news byte, total uint64, timing share.Timing, f *Fleet, clock func() time.Duration) (*Budget, error) {
+	b := &Budget{kind: kind, news: news, name: f.conf.Self, total: total, log: f.log, clock: clock, tell: f.tell, send: f.send,
+		freed: func() {}, ticked: func(uint64) {}, timing: timing, counts: map[string]uint64{}}
 	return b, b.begin()
 }
 
@@ -104,6 +113,35 @@
 	b.freed = f
 }
 
+// OnTick has f called, from another goroutine, ten times a second, with how many
+// this member may have in hand: none where it has heard nothing for too long.
+func (b *Budget) OnTick(f func(may uint64)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.ticked = f
+}
+
+// Want tells how many the member would have in hand if only it might.
+func (b *Budget) Want(n int) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.member.Want(uint64(max(0, n)))
+}
+
+// Count adds one to a count of the whole fleet's.
+func (b *Budget) Count(name string) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.counts[name]++
+}
+
+// Counted is what all members have counted, as far as this one has heard.
+func (b *Budget) Counted(name string) int64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.member.State().Total(name)
+}
+
 // Rights is how many calls this member may have in hand now, and how many it has.
 func (b *Budget) Rights() (rights, used uint64) {
 	b.mu.Lock()
@@ -121,15 +159,15 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	_, news = b.member.Merge(i, b.clock())
-	return aboutItem(i), news
+	return b.about(i), news
 }
 
-// aboutItem names what an item is about: the next of the same name is later.
-func aboutItem(i share.Item) string {
+// about names what an item is about: the next of the same name is later.
+func (b *Budget) about(i share.Item) string {
 	if i.Row != nil {
-		return "row " + i.Of.String()
+		return b.kind + " row " + i.Of.String()
 	}
-	return "account " + i.Of.String()
+	return b.kind + " account " + i.Of.String()
 }
 
 // latest gives all that is known, for those who join.
@@ -152,14 +190,14 @@
 		b.log.Error("fleet_share", "error", err.Error())
 		return nil
 	}
-	return append([]byte{newsShare}, piece...)
+	return append([]byte{b.news}, piece...)
 }
 
 // spread tells the others, outside the lock.
 func (b *Budget) spread(is []share.Item) {
 	for _, i := range is {
 		if piece := b.pack(i); piece != nil {
-			b.tell(aboutItem(i), piece)
+			b.tell(b.about(i), piece)
 		}
 	}
 }
@@ -182,8 +220,12 @@
 	var orders []share.Order
 	b.mu.Lock()
 	now := b.clock()
+	for name, n := range b.counts {
+		b.member.Count(name, n, 0)
+	}
+	clear(b.counts)
 	if b.member.Fenced() {
-		b.log.Warn("fleet_share_fenced", "member", b.name)
+		b.log.Warn("fleet_share_fenced", "of", b.kind, "member", b.name)
 		if err := b.begin(); err != nil {
 			b.log.Error("fleet_share", "error", err.Error())
 		}
@@ -204,7 +246,7 @@
 	}
 	if b.keeper != nil {
 		m.mu.Lock()
-		asked, acks := b.keeper.Tick(now, b.member.State(), m.bank)
+		asked, acks := b.keeper.Tick(now, b.member.State(), m.banks[b.kind])
 		m.mu.Unlock()
 		for _, a := range acks {
 			if news, ok := b.member.Merge(a, now); ok {
@@ -215,7 +257,7 @@
 			orders, b.asked = asked, now
 		}
 	}
-	freed := b.freed
+	freed, ticked, may := b.freed, b.ticked, b.member.May(now)
 	b.mu.Unlock()
 	b.spread(out)
 	for _, g := range gifts {
@@ -224,9 +266,10 @@
 		}
 	}
 	freed()
+	ticked(may)
 	var commands [][]byte
 	for _, o := range orders {
-		c, err := json.Marshal(command{Bank: &bankOrder{token, o}})
+		c, err := json.Marshal(command{Bank: &bankOrder{b.kind, token, o}})
 		if err != nil {
 			b.log.Error("fleet_command", "error", err.Error())
 			continue
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -62,7 +62,10 @@
 	// Budget is how many calls the whole fleet may have in hand at the shared
 	// dependency, at any instant and in any partition; 0 for no such bound. The
 	// same at each member.
-	Budget  uint64
+	Budget uint64
+	// Repeats is how many repeats of calls the whole fleet may make in any
+	// second; 0 for no such bound.
+	Repeats uint64
 	Horizon time.Duration // without word from the bank's owner, until a member makes no calls
 	Hold    time.Duration // the longest that a call is in hand
 
@@ -71,7 +74,7 @@
 
 // Validate gives an error that names the operator's key at fault.
 func (c *Config) Validate() error {
-	if c.Budget > 0 {
+	if c.Budget > 0 || c.Repeats > 0 {
 		if err := c.horizon().Validate(); err != nil {
 			return fmt.Errorf("fleet.horizon_ms: %w", err)
 		}
@@ -95,7 +98,16 @@
 	return lease.Timing{Term: c.Term, Drift: c.Drift, Renew: c.Term / 4}
 }
 
-// horizon is the budget's timing: ten beats in a horizon.
+// horizon is the budgets' timing: ten beats in a horizon.
 func (c *Config) horizon() share.Timing {
-	return share.Timing{Horizon: c.Horizon, Drift: c.Drift, Hold: c.Hold, Beat: c.Horizon / 10}
+	return share.Timing{Horizon: c.Horizon, Drift: c.Drift, Hold: max(c.Hold, c.repeatHold()), Beat: c.Horizon / 10}
+}
+
+// repeatHold is how long a repeat keeps its right: a second on any clock, so that
+// of the repeats of any second each had a right of its own.
+func (c *Config) repeatHold() time.Duration {
+	if c.Repeats == 0 {
+		return 0
+	}
+	return time.Duration(float64(time.Second) * (1 + c.Drift))
 }
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -25,7 +25,7 @@
 	log     *slog.Logger
 	self    lease.Owner
 	board   *board
-	budget  *Budget // nil where the fleet has none
+	budgets map[string]*Budget // those that the fleet has
 	members *gossip.Members
 	stop    context.CancelFunc
 	joined  chan struct{} // closed when there are members to tell
@@ -46,8 +46,14 @@
 	Bytes    int64 // likewise
 	Stale    int   // pieces of fleet work refused for their token
 	State    State // of the shared dependency, as this member knows
-	Rights   int   // calls that this member may have in hand, where there is a budget
-	InHand   int   // of them used
+	Budgets  map[string]BudgetStats
+}
+
+// BudgetStats are a member's part of one budget.
+type BudgetStats struct {
+	Rights int // that this member may have in hand
+	InHand int // of them used
+	Free   int // that nobody holds, as a voter's log says; 0 at other members
 }
 
 // Start joins the fleet. Others need not be up yet.
@@ -64,10 +70,17 @@
 	f.board = &board{log: f.log, fence: fence, latest: map[string]Judgement{}, fresh: 5*c.ProbeEvery + 2*c.Term}
 	began := time.Now()
 	clock := func() time.Duration { return time.Duration(float64(time.Since(began)) * c.ClockRate) }
-	if c.Budget > 0 {
-		var err error
-		if f.budget, err = newBudget(&c, f.log, clock, f.tell, f.send); err != nil {
-			return nil, err
+	f.budgets = map[string]*Budget{}
+	for _, b := range []struct {
+		kind  string
+		news  byte
+		total uint64
+	}{{Calls, newsCalls, c.Budget}, {Repeats, newsRepeats, c.Repeats}} {
+		if b.total > 0 {
+			var err error
+			if f.budgets[b.kind], err = newBudget(b.kind, b.news, b.total, c.horizon(), f, clock); err != nil {
+				return nil, err
+			}
 		}
 	}
 	raft := ""
@@ -94,16 +107,17 @@
 
 func (f *Fleet) startVoter(fence *lease.Fence, clock func() time.Duration) error {
 	wanted := []string{Registry}
-	if f.budget != nil {
+	if len(f.budgets) > 0 {
 		wanted = append(wanted, Bank)
 	}
 	member, err := lease.NewMember(f.self, f.conf.timing(), wanted)
 	if err != nil {
 		return err
 	}
-	f.machine = &machine{log: f.log, fence: fence, member: member, moved: make(chan struct{}, 1), clock: clock}
-	if f.budget != nil {
-		f.machine.bank, f.machine.changed = share.NewBank(f.conf.Budget), f.budget.changed
+	f.machine = &machine{log: f.log, fence: fence, member: member, moved: make(chan struct{}, 1), clock: clock,
+		banks: map[string]*share.Bank{}, changed: func(of string, accounts []share.Item) { f.budgets[of].changed(accounts) }}
+	for kind, b := range f.budgets {
+		f.machine.banks[kind] = share.NewBank(b.total)
 	}
 	peers := maps.Clone(f.conf.Voters)
 	delete(peers, f.conf.Self)
@@ -130,7 +144,8 @@
 // The kinds of news, as a piece's first byte.
 const (
 	newsJudgement = 'j'
-	newsShare     = 's'
+	newsCalls     = 'c'
+	newsRepeats   = 'r'
 )
 
 // news is what the members tell each other: gossip.News.
@@ -138,11 +153,16 @@
 
 // Heard implements gossip.News.
 func (n news) Heard(piece []byte) (about string, isNews bool) {
-	switch {
-	case len(piece) > 0 && piece[0] == newsJudgement:
+	if len(piece) == 0 {
+		return "", false
+	}
+	if piece[0] == newsJudgement {
 		return n.f.board.heard(piece[1:])
-	case len(piece) > 0 && piece[0] == newsShare && n.f.budget != nil:
-		return n.f.budget.heard(piece[1:])
+	}
+	for _, b := range n.f.budgets {
+		if b.news == piece[0] {
+			return b.heard(piece[1:])
+		}
 	}
 	return "", false
 }
@@ -152,8 +172,8 @@
 	for _, p := range n.f.board.pieces() {
 		out = append(out, append([]byte{newsJudgement}, p...))
 	}
-	if n.f.budget != nil {
-		out = append(out, n.f.budget.latest()...)
+	for _, b := range n.f.budgets {
+		out = append(out, b.latest()...)
 	}
 	return out
 }
@@ -176,13 +196,28 @@
 	}
 }
 
-// Budget is this member's part of the fleet's budget, nil where there is none.
-func (f *Fleet) Budget() *Budget { return f.budget }
+// Budget is this member's part of one of the fleet's budgets, nil where there is
+// none of that kind.
+func (f *Fleet) Budget(kind string) *Budget { return f.budgets[kind] }
+
+// Repeat takes one of the repeats of calls that the fleet may make; false where
+// none is left here for now. A fleet without such a budget has no bound.
+func (f *Fleet) Repeat() bool {
+	b := f.budgets[Repeats]
+	if b == nil {
+		return true
+	}
+	put, ok := b.Take()
+	if ok {
+		time.AfterFunc(f.conf.repeatHold(), put)
+	}
+	return ok
+}
 
-// share keeps this member's part of the budget.
+// share keeps this member's part of the budgets.
 func (f *Fleet) share(ctx context.Context) {
 	defer close(f.shared)
-	if f.budget == nil {
+	if len(f.budgets) == 0 {
 		return
 	}
 	ticker := time.NewTicker(budgetTick)
@@ -193,8 +228,10 @@
 			return
 		case <-ticker.C:
 		}
-		if orders := f.budget.tick(f.machine); len(orders) > 0 {
-			f.node.Do(func() [][]byte { return orders })
+		for _, b := range f.budgets {
+			if orders := b.tick(f.machine); len(orders) > 0 {
+				f.node.Do(func() [][]byte { return orders })
+			}
 		}
 	}
 }
@@ -222,9 +259,10 @@
 		messages, bytes := f.mesh.Sent()
 		s.Messages, s.Bytes = s.Messages+messages, s.Bytes+bytes
 	}
-	if f.budget != nil {
-		rights, used := f.budget.Rights()
-		s.Rights, s.InHand = int(rights), int(used)
+	s.Budgets = map[string]BudgetStats{}
+	for kind, b := range f.budgets {
+		rights, used := b.Rights()
+		s.Budgets[kind] = BudgetStats{int(rights), int(used), f.machine.free(kind)}
 	}
 	f.board.mu.Lock()
 	defer f.board.mu.Unlock()
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"os"
 	"path/filepath"
 	"strings"
@@ -227,8 +228,14 @@
 	<-r.Exited(old.By)
 }
 
-// budget is how many calls the fleet of TestBudget may have in hand.
-const budget = 12
+// The fleet of TestBudget may have so many calls in hand, and make so many
+// repeats a second.
+const (
+	budget  = 12
+	repeats = 6
+	// A repeat's way to the ledger may take longer than that of one before it.
+	onTheWay = 50 * time.Millisecond
+)
 
 // served waits until so many more calls have ended at the shared ledger, and
 // checks that no more than the budget were in hand meanwhile.
@@ -259,8 +266,8 @@
 // with messages lost, doubled and reordered, with members paused, killed and
 // restarted, the bound holds at every instant, and work goes on.
 func TestBudget(t *testing.T) {
-	r := startWith(t, fleettest.Options{Load: 4, Took: 60 * time.Millisecond, Settings: map[string]any{"election_ms": 300,
-		"lease_ms": 300, "budget_calls": budget, "horizon_ms": 3000, "hold_ms": 600}})
+	r := startWith(t, fleettest.Options{Load: 4, Took: 60 * time.Millisecond, TurnsAway: 8, Settings: map[string]any{"election_ms": 300,
+		"lease_ms": 300, "budget_calls": budget, "budget_repeats": repeats, "horizon_ms": 3000, "hold_ms": 600}})
 	r.served("whole", 300)
 	gossip := func(rule fault.Rule, picks func(p *fault.Pair) bool) {
 		r.Net.Set(rule, func(p *fault.Pair) bool { return p.Kind != "publish" && picks(p) })
@@ -283,7 +290,7 @@
 		t.Fatal(err)
 	}
 	fenced := func(l fleettest.Line) bool {
-		return l.Event == "bank" && l.Fields["order"] == "fence" && strings.HasPrefix(l.Fields["of"], "v5/")
+		return l.Event == "bank" && l.Fields["budget"] == "calls" && l.Fields["order"] == "fence" && strings.HasPrefix(l.Fields["of"], "v5/")
 	}
 	if _, err := r.Await("the fence of the old life", from, fenced); err != nil {
 		t.Fatal(err)
@@ -291,9 +298,48 @@
 	r.signal("v4", syscall.SIGCONT)
 	r.served("paused, killed and lossy", 300)
 	r.Net.Heal()
-	settled := func(l fleettest.Line) bool { return l.Event == "bank" && l.Fields["order"] == "settle" }
+	settled := func(l fleettest.Line) bool {
+		return l.Event == "bank" && l.Fields["budget"] == "calls" && l.Fields["order"] == "settle"
+	}
 	if _, err := r.Await("the settlement of the old life", from, settled); err != nil {
 		t.Fatal(err)
 	}
 	r.served("settled", 300)
+	all, most := r.Ledger.Repeats(time.Second - onTheWay)
+	t.Logf("%d repeats, at most %d in a second", all, most)
+	if most > repeats || all < 3*repeats {
+		t.Errorf("%d repeats in a second of %d, %d in all", most, repeats, all)
+	}
+
+	// At rest and healed, all rights are held by somebody, and all members have
+	// counted the same answers.
+	r.Quiet()
+	const rounds, round = 200, 200 * time.Millisecond
+	took, err := r.Converge("quincerail_fleet_rights", rounds*round, func(all map[string]map[string]float64) bool {
+		free, err := r.Scrape("v1", "quincerail_fleet_free")
+		if err != nil {
+			t.Fatal(err)
+		}
+		sum := free["calls"]
+		for _, by := range all {
+			sum += by["calls"]
+		}
+		return sum == budget
+	})
+	if err != nil {
+		t.Error(err)
+	}
+	t.Logf("all rights are accounted for after %v", took)
+	took, err = r.Converge("quincerail_fleet_answers", rounds*round, func(all map[string]map[string]float64) bool {
+		for _, by := range all {
+			if by["served"] == 0 || !maps.Equal(by, all["m1"]) {
+				return false
+			}
+		}
+		return true
+	})
+	if err != nil {
+		t.Error(err)
+	}
+	t.Logf("all have counted the same after %v", took)
 }
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -18,17 +18,18 @@
 	Bank           *bankOrder `json:"bank,omitempty"`
 }
 
-// bankOrder is an order for the bank, under the token of the lease Bank: the
+// bankOrder is an order for the bank of a budget, under the token of the lease Bank: the
 // log refuses what a late-waking old owner sends.
 type bankOrder struct {
+	Of    string      `json:"of"`
 	Token lease.Token `json:"token"`
 	Order share.Order `json:"order"`
 }
 
 // snapshot is what the log came to.
 type snapshot struct {
-	Leases *lease.Table `json:"leases"`
-	Bank   *share.Bank  `json:"bank,omitempty"`
+	Leases *lease.Table           `json:"leases"`
+	Banks  map[string]*share.Bank `json:"banks,omitempty"`
 }
 
 // machine is what a voter has under its log: consensus.Machine over
@@ -39,11 +40,11 @@
 	fence *lease.Fence
 	moved chan struct{} // has an item when a lease changed owners
 
-	changed func([]share.Item) // takes accounts that the bank changed; nil where there is none
+	changed func(budget string, accounts []share.Item) // takes what a bank changed
 
 	mu     sync.Mutex // the worker asks from its own goroutine
 	member *lease.Member
-	bank   *share.Bank // nil where the fleet has no budget
+	banks  map[string]*share.Bank // by budget
 }
 
 // Apply implements consensus.Machine.
@@ -71,7 +72,8 @@
 // order has the bank take in an order, unless it is an old owner's.
 func (m *machine) order(o bankOrder, index uint64) {
 	m.mu.Lock()
-	if m.bank == nil {
+	bank := m.banks[o.Of]
+	if bank == nil {
 		m.mu.Unlock()
 		return
 	}
@@ -81,15 +83,15 @@
 	if g.Token != o.Token || g.Free() {
 		err = &lease.StaleError{Lease: Bank, Token: o.Token, Highest: g.Token}
 	} else {
-		items, err = m.bank.Apply(o.Order, index)
+		items, err = bank.Apply(o.Order, index)
 	}
 	m.mu.Unlock()
 	if err != nil {
 		m.log.Debug("fleet_order_refused", "error", err.Error())
 		return
 	}
-	m.log.Info("bank", "order", string(o.Order.Kind), "of", o.Order.Of.String(), "amount", o.Order.Amount)
-	m.changed(items)
+	m.log.Info("bank", "budget", o.Of, "order", string(o.Order.Kind), "of", o.Order.Of.String(), "amount", o.Order.Amount)
+	m.changed(o.Of, items)
 }
 
 // tell says that a lease changed owners: to the log, to the fence, which so
@@ -131,7 +133,7 @@
 func (m *machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return json.Marshal(snapshot{m.member.Table(), m.bank})
+	return json.Marshal(snapshot{m.member.Table(), m.banks})
 }
 
 // Restore implements consensus.Machine.
@@ -145,16 +147,19 @@
 	}
 	m.mu.Lock()
 	moves := m.member.Restore(*s.Leases, m.clock())
-	var items []share.Item
-	if m.bank != nil && s.Bank != nil {
-		m.bank = s.Bank
-		for id, a := range s.Bank.Accounts {
-			items = append(items, share.Item{Of: id, Account: a})
+	items := map[string][]share.Item{}
+	for of, bank := range s.Banks {
+		if m.banks[of] == nil {
+			continue // a budget that the fleet has no more
+		}
+		m.banks[of] = bank
+		for id, a := range bank.Accounts {
+			items[of] = append(items[of], share.Item{Of: id, Account: a})
 		}
 	}
 	m.mu.Unlock()
-	if len(items) > 0 {
-		m.changed(items)
+	for of, is := range items {
+		m.changed(of, is)
 	}
 	for _, move := range moves {
 		m.tell(move)
@@ -169,6 +174,16 @@
 	return m.member.Holds(name, m.clock())
 }
 
+// free is how much of a budget nobody holds; 0 where there is no log.
+func (m *machine) free(of string) int {
+	if m == nil {
+		return 0
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return int(m.banks[of].Free)
+}
+
 // owns tells whether the log has this voter as the owner of any lease.
 func (m *machine) owns(self lease.Owner) bool {
 	m.mu.Lock()
--- a/fleet/share/member.go
+++ b/fleet/share/member.go
@@ -106,7 +106,7 @@
 // Take puts one more in hand, if the member may at a time. What is in hand must
 // be put back within Timing.Hold.
 func (m *Member) Take(now time.Duration) bool {
-	if now >= m.until || m.used >= m.Rights() {
+	if m.used >= m.May(now) {
 		m.refused++
 		return false
 	}
@@ -115,13 +115,26 @@
 	return true
 }
 
+// May is how much the member may have in hand at a time: none, whatever its
+// rights, where it has heard nothing for too long.
+func (m *Member) May(now time.Duration) uint64 {
+	if now >= m.until {
+		return 0
+	}
+	return m.Rights()
+}
+
+// Want tells how much the member would have in hand if only it might, where its
+// user keeps to May and so is never refused.
+func (m *Member) Want(n uint64) { m.refused = max(m.refused, n-min(n, m.used)) }
+
 // Put puts one back.
 func (m *Member) Put() { m.used-- }
 
 // Used is what is in hand.
 func (m *Member) Used() uint64 { return m.used }
 
-// Count adds to a count.
+// Count adds to a count; the next beat tells of it.
 func (m *Member) Count(name string, up, down uint64) {
 	m.row.Counts = maps.Clone(m.row.Counts)
 	if m.row.Counts == nil {
@@ -129,7 +142,7 @@
 	}
 	c := m.row.Counts[name]
 	m.row.Counts[name] = PN{c.Up + up, c.Down + down}
-	m.changed = true
+	m.keep()
 }
 
 // wantMemory is the share of the last tick's want that the next one keeps: it
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"maps"
+	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -19,6 +20,9 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
+
 	"quincerail.example/quincerail/fleet/lease"
 	"quincerail.example/quincerail/internal/fault"
 	"quincerail.example/quincerail/internal/standin"
@@ -67,9 +71,10 @@
 	Direct bool
 	// Load is how many callers each member has, which ask for work that calls the
 	// shared ledger, one request after the other; 0 for none, and no ledger.
-	Load   int
-	Took   time.Duration // of a call at the shared ledger
-	Within time.Duration // until Await gives up; 0 for 30 s
+	Load      int
+	Took      time.Duration // of a call at the shared ledger
+	TurnsAway int           // it turns the first call of one in so many requests away; 0 for none
+	Within    time.Duration // until Await gives up; 0 for 30 s
 }
 
 // Line is one line of a child's log.
@@ -101,6 +106,7 @@
 	Children map[string]*Child
 
 	opt     Options
+	quiet   func() // ends the callers
 	closed  chan struct{}
 	callers sync.WaitGroup
 	gossip  map[string]string // where members hear the others
@@ -112,6 +118,7 @@
 // Start starts all members, and returns once each says where it listens.
 func Start(opt Options) (*Fleet, error) {
 	f := &Fleet{Net: fault.NewNet(opt.Seed), Children: map[string]*Child{}, opt: opt, gossip: map[string]string{}, closed: make(chan struct{}), changed: make(chan struct{})}
+	f.quiet = sync.OnceFunc(func() { close(f.closed) })
 	if f.opt.Within == 0 {
 		f.opt.Within = 30 * time.Second
 	}
@@ -120,7 +127,7 @@
 		return nil, fmt.Errorf("fleettest: %w", err)
 	}
 	if opt.Load > 0 {
-		if f.Ledger, err = standin.NewSharedLedger("127.0.0.1:0", opt.Took); err != nil {
+		if f.Ledger, err = standin.NewSharedLedger("127.0.0.1:0", opt.Took, opt.TurnsAway); err != nil {
 			f.Registry.Close()
 			return nil, fmt.Errorf("fleettest: %w", err)
 		}
@@ -460,9 +467,71 @@
 // Exited is closed when a member's process has ended.
 func (f *Fleet) Exited(name string) <-chan struct{} { return f.Children[name].exited }
 
+// Quiet ends the callers, and returns when they have.
+func (f *Fleet) Quiet() {
+	f.quiet()
+	f.callers.Wait()
+}
+
+// Scrape gives a member's metrics of a name, by the value of their only label
+// ("" without one).
+func (f *Fleet) Scrape(name, metric string) (map[string]float64, error) {
+	var address string
+	for _, l := range f.Lines() {
+		if l.Child == name && l.Event == "metrics" {
+			address = l.Fields["address"] // the latest life's
+		}
+	}
+	resp, err := http.Get("http://" + address + "/metrics")
+	if err != nil {
+		return nil, fmt.Errorf("fleettest: %w", err)
+	}
+	defer resp.Body.Close()
+	parser := expfmt.NewTextParser(model.UTF8Validation)
+	families, err := parser.TextToMetricFamilies(resp.Body)
+	if err != nil {
+		return nil, fmt.Errorf("fleettest: %s: %w", name, err)
+	}
+	out := map[string]float64{}
+	for _, m := range families[metric].GetMetric() {
+		label := ""
+		for _, l := range m.GetLabel() {
+			label = l.GetValue()
+		}
+		out[label] = m.GetGauge().GetValue() + m.GetCounter().GetValue()
+	}
+	return out, nil
+}
+
+// Converge scrapes a metric of all members, again and again, until what they
+// say satisfies is, and gives how long that took.
+func (f *Fleet) Converge(metric string, within time.Duration, is func(all map[string]map[string]float64) bool) (time.Duration, error) {
+	began := time.Now()
+	all := map[string]map[string]float64{}
+	for {
+		for name := range f.Children {
+			var err error
+			if all[name], err = f.Scrape(name, metric); err != nil {
+				return 0, err
+			}
+		}
+		took := time.Since(began)
+		if is(all) {
+			return took, nil
+		}
+		if took > within {
+			return took, fmt.Errorf("fleettest: %s after %v: %v", metric, took, all)
+		}
+		time.Sleep(scrapeEvery)
+	}
+}
+
+// scrapeEvery is how often Converge looks.
+const scrapeEvery = 50 * time.Millisecond
+
 // Close kills all processes and ends what stands around them.
 func (f *Fleet) Close() {
-	close(f.closed)
+	f.quiet()
 	for _, c := range f.Children {
 		if c.cmd != nil && c.cmd.Process != nil {
 			c.cmd.Process.Kill()
--- a/internal/standin/shared.go
+++ b/internal/standin/shared.go
@@ -12,25 +12,30 @@
 
 // SharedLedger stands in for a ledger that a whole fleet shares: each call takes
 // a time there, whether it is given up or not, and it knows how many it had in
-// hand at most.
+// hand at most, and how many repeats came in a second at most. Of the requests
+// that call it, it turns the first call of some away.
 type SharedLedger struct {
-	listener net.Listener
-	took     time.Duration
+	listener  net.Listener
+	took      time.Duration
+	turnsAway int // the first call of one in so many requests; 0 for none
 
 	mu      sync.Mutex
+	seen    map[string]bool // requests that called
+	repeats []time.Time
 	inHand  int
 	most    int
 	done    int
 	changed chan struct{} // closed and made anew when a call ends
 }
 
-// NewSharedLedger starts a ledger whose calls take a time each.
-func NewSharedLedger(address string, took time.Duration) (*SharedLedger, error) {
+// NewSharedLedger starts a ledger whose calls take a time each, and which turns
+// the first call of one in turnsAway requests away; of none for 0.
+func NewSharedLedger(address string, took time.Duration, turnsAway int) (*SharedLedger, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, fmt.Errorf("ledger: %w", err)
 	}
-	s := &SharedLedger{listener: l, took: took, changed: make(chan struct{})}
+	s := &SharedLedger{listener: l, took: took, turnsAway: turnsAway, seen: map[string]bool{}, changed: make(chan struct{})}
 	go accept(l, s.serve)
 	return s, nil
 }
@@ -50,6 +55,30 @@
 	return most, s.done, s.changed
 }
 
+// Repeats gives how many repeats came, and how many within any span at most.
+func (s *SharedLedger) Repeats(span time.Duration) (all, most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	from := 0
+	for i, at := range s.repeats {
+		for at.Sub(s.repeats[from]) >= span {
+			from++
+		}
+		most = max(most, i-from+1)
+	}
+	return len(s.repeats), most
+}
+
+// repeated notes a call, and tells whether it is turned away. The lock is held.
+func (s *SharedLedger) repeated(id string) (full bool) {
+	if s.seen[id] {
+		s.repeats = append(s.repeats, time.Now())
+		return false
+	}
+	s.seen[id] = true
+	return s.turnsAway > 0 && len(s.seen)%s.turnsAway == 0
+}
+
 func (s *SharedLedger) serve(nc net.Conn) {
 	defer nc.Close()
 	var mu sync.Mutex // one answer at a time
@@ -63,6 +92,13 @@
 			continue // it goes on to its end
 		}
 		s.mu.Lock()
+		if s.repeated(words[1]) {
+			s.mu.Unlock()
+			mu.Lock()
+			fmt.Fprintf(nc, "%s queue_full\r\n", words[1])
+			mu.Unlock()
+			continue
+		}
 		s.inHand++
 		s.most = max(s.most, s.inHand)
 		s.mu.Unlock()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,7 @@
 	startShare   = 0.25                  // [ours] the Controller starts at this share of the shortest aim
 	budgetShare  = 0.1                   // [measured] repeats earned by each first call
 	budgetMost   = 10.0                  // [ours] repeats saved up at most
+	repeatRest   = time.Second / 10      // [ours] until a repeat that the fleet had no room for is looked at again
 	breakAt      = 0.5                   // [page] most recent calls failing: below is marked failed
 	breakFor     = time.Second           // [ours] how long ordinary calls stop
 	callGoal     = 0.4                   // [measured] of the told call share is in hand on average
@@ -101,6 +102,7 @@
 // Instance decides for one server. It is not safe for concurrent use.
 type Instance struct {
 	set            decision.Settings
+	bounds         decision.Bounds
 	host           decision.Host
 	rng            *rand.Rand
 	now, born, gap time.Duration // gap: between two looks at the clock
@@ -149,7 +151,7 @@
 		set: s, host: host, rng: rand.New(rand.NewSource(seed)), requests: make(map[string]*request),
 		runLimit: float64(s.Cores), calls: make([]float64, len(s.Classes)),
 		rates: make([]float64, max(1, len(s.Tenants))), budget: budgetMost,
-		said: -1, well: true, idle: s.MaxIdle,
+		said: -1, well: true, idle: s.MaxIdle, bounds: decision.Bounds{Calls: math.Inf(1)},
 	}
 	in.tune(0)
 	in.controller.timeout = time.Duration(float64(in.shortest) * startShare)
@@ -792,6 +794,12 @@
 		in.giveUpCall(q)
 		return
 	}
+	if q.tries > 0 && in.bounds.Repeat != nil && !in.bounds.Repeat() { // others made all there are for now
+		if q.notYet = in.now + repeatRest; q.class.SkipWorth > 0 {
+			in.giveUpCall(q)
+		}
+		return
+	}
 	if q.tries == 0 {
 		in.budget = min(budgetMost, in.budget+budgetShare)
 	}
@@ -855,8 +863,17 @@
 // callsOut counts calls in hand, with those given up that still linger.
 func (in *Instance) callsOut() int { return in.count[calling] + len(in.lingering) }
 
+// Bound takes in this server's part of what its fleet shares, and gives how many
+// calls it has in hand or would make now, if only it might.
+func (in *Instance) Bound(b decision.Bounds) (wanted int) {
+	in.bounds = b
+	return in.callsOut() + in.count[standing]
+}
+
 // callPace is how many calls may be in hand on average.
-func (in *Instance) callPace() float64 { return callGoal * max(callLeast, in.set.CallsOut) }
+func (in *Instance) callPace() float64 {
+	return min(callGoal*max(callLeast, in.set.CallsOut), max(callLeast, in.bounds.Calls))
+}
 
 // payCalls keeps the account of the time that calls spend below. It earns the
 // pace, saved up for a while, and pays for what is in hand, so that a share of
@@ -872,7 +889,9 @@
 // mayCall says whether the call cap has room for one more.
 func (in *Instance) mayCall() bool {
 	out := float64(in.callsOut())
-	if in.set.Below != decision.BelowShared {
+	if out >= in.bounds.Calls {
+		return false
+	} else if in.set.Below != decision.BelowShared {
 		return out < in.runLimit
 	}
 	return out < max(1, in.callsAtOnce()) && in.credit >= 0
--- a/policy/told_test.go
+++ b/policy/told_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"quincerail.example/quincerail/decision"
 	"testing"
 	"time"
@@ -112,3 +113,68 @@
 		t.Error("a class may lose its place")
 	}
 }
+
+// A server's part of the fleet's budget bounds its calls at every instant, and is
+// none where it has heard nothing for too long; what it would make is told.
+func TestCallsKeepToTheFleetsBound(t *testing.T) {
+	s := settings()
+	s.Cores, s.CallsOut = 6, 20
+	in, r := start(t, s)
+	for i := range 6 {
+		id := string(rune('a' + i))
+		in.Request(0, decision.Request{ID: id, From: i, HeldKB: 1})
+		in.Decide(0)
+	}
+	running := in.count[running]
+	if running < 3 {
+		t.Fatalf("%d run", running)
+	}
+	in.Bound(decision.Bounds{Calls: 0})
+	for id := range in.requests {
+		in.NeedsCall(ms, id)
+	}
+	in.Decide(ms)
+	if n := r.count("call"); n != 0 {
+		t.Errorf("%d calls without a right", n)
+	}
+	if wanted := in.Bound(decision.Bounds{Calls: 2}); wanted != running {
+		t.Errorf("%d wanted of %d", wanted, running)
+	}
+	in.Decide(2 * ms)
+	if n := r.count("call"); n != 2 || in.callPace() > 2 {
+		t.Errorf("%d calls with two rights, at a pace of %v", n, in.callPace())
+	}
+	in.Bound(decision.Bounds{Calls: math.Inf(1)})
+	in.Decide(3 * ms)
+	if n := r.count("call"); n != running {
+		t.Errorf("%d calls of %d without a bound", n, running)
+	}
+}
+
+// A repeat that the fleet has no room for waits, and is looked at again: each that
+// is made took one of the fleet's.
+func TestRepeatsKeepToTheFleetsBound(t *testing.T) {
+	in, r := start(t, settings())
+	left := 0
+	in.Bound(decision.Bounds{Calls: math.Inf(1), Repeat: func() bool { left--; return left >= 0 }})
+	in.Request(0, decision.Request{ID: "a", HeldKB: 1})
+	in.Decide(0)
+	in.NeedsCall(0, "a")
+	in.Decide(0)
+	in.CallDone(ms, "a", decision.Full, ms)
+	run := func(from, to time.Duration) {
+		for now := from; now < to; now += in.gap {
+			in.Tick(now, 0, decision.Gauges{CoreUse: 0.5, OnCores: 1})
+			in.Decide(now)
+		}
+	}
+	run(ms, 400*ms)
+	if n := r.count("call"); n != 1 || left > -2 {
+		t.Fatalf("%d calls, asked %d times", n, -left)
+	}
+	left = 1
+	run(400*ms, 800*ms)
+	if n := r.count("call"); n != 2 {
+		t.Errorf("%d calls once there was room", n)
+	}
+}
--- a/program/budget.go
+++ b/program/budget.go
@@ -1,11 +1,13 @@
 package program
 
 import (
+	"math"
 	"slices"
 	"sync"
 	"time"
 
 	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/fleet"
 	"quincerail.example/quincerail/routing"
 )
 
@@ -23,8 +25,8 @@
 
 // budgetedCalls lets calls go below only within a budget: routing.Dependency
 // over another. What has no room waits its turn; the core gives it up in its
-// time, as it does any call. The module decides which calls to make, and sees
-// those that wait as a slow dependency; the budget only bounds them.
+// time, as it does any call. The module decides which calls to make within what
+// it was last told of the budget (bound); this is what holds at every instant.
 //
 // A call that was given up, or whose connection broke, may linger below, and is
 // counted for as long.
@@ -115,3 +117,34 @@
 	k.put()
 	b.pump()
 }
+
+// bound has the module keep to this member's part of the fleet's budgets, as they
+// move, and tells the fleet what it would have in hand if only it might.
+func bound(core *routing.Core, member *fleet.Fleet) {
+	calls := member.Budget(fleet.Calls)
+	b := decision.Bounds{Calls: math.Inf(1)}
+	if member.Budget(fleet.Repeats) != nil {
+		b.Repeat = member.Repeat
+	}
+	if calls == nil {
+		if b.Repeat != nil {
+			core.Bound(b, func(int) {})
+		}
+		return
+	}
+	latest := make(chan uint64, 1) // a core that is busy must not hold up the fleet's side
+	calls.OnTick(func(may uint64) {
+		select {
+		case latest <- may:
+		default:
+		}
+	})
+	go func() {
+		for may := range latest {
+			b.Calls = float64(may)
+			if core.Bound(b, calls.Want) != nil {
+				return // it has stopped
+			}
+		}
+	}()
+}
--- a/program/metrics.go
+++ b/program/metrics.go
@@ -30,8 +30,10 @@
 //	quincerail_fleet_owner                  1 while this process owns the lease on the registry's judgement
 //	quincerail_fleet_messages_total         sent to other members; quincerail_fleet_bytes_total likewise
 //	quincerail_fleet_dependency             how the shared dependency stands: 0 unknown, 1 good, 2 slow, 3 down
-//	quincerail_fleet_rights                 calls that this member may have in hand, of the fleet's budget
-//	quincerail_fleet_in_hand                of them used
+//	quincerail_fleet_rights{of}             calls, or repeats, that this member may have in hand, of the fleet's budget
+//	quincerail_fleet_in_hand{of}            of them used
+//	quincerail_fleet_free{of}               of the budget, that nobody holds; 0 but at voters
+//	quincerail_fleet_answers{kind}          final answers of the whole fleet, as far as this member has heard
 //	quincerail_fleet_stale_total            pieces of fleet work refused for their token
 type metrics struct {
 	core     atomic.Pointer[routing.Core] // whose open requests are counted, once there is one
@@ -39,10 +41,11 @@
 	answers  *prometheus.CounterVec
 	repeats  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	count    func(kind string) // for the whole fleet
 }
 
 func newMetrics() *metrics {
-	m := &metrics{registry: prometheus.NewRegistry(),
+	m := &metrics{registry: prometheus.NewRegistry(), count: func(string) {},
 		answers: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "quincerail_answers_total",
 			Help: "Final answers, by class and kind."}, []string{"class", "kind"}),
 		repeats: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "quincerail_repeats_total",
@@ -84,22 +87,45 @@
 			func(s fleet.Stats) float64 {
 				return map[fleet.State]float64{fleet.Good: 1, fleet.Slow: 2, fleet.Down: 3}[s.State]
 			}),
-		gauge("quincerail_fleet_rights", "Calls that this member may have in hand, of the fleet's budget.",
-			func(s fleet.Stats) float64 { return float64(s.Rights) }),
-		gauge("quincerail_fleet_in_hand", "Calls of the fleet's budget that this member has in hand.",
-			func(s fleet.Stats) float64 { return float64(s.InHand) }),
 		count("quincerail_fleet_messages_total", "Messages sent to other members.",
 			func(s fleet.Stats) float64 { return float64(s.Messages) }),
 		count("quincerail_fleet_bytes_total", "Bytes sent to other members.",
 			func(s fleet.Stats) float64 { return float64(s.Bytes) }),
 		count("quincerail_fleet_stale_total", "Pieces of fleet work refused for their token.",
 			func(s fleet.Stats) float64 { return float64(s.Stale) }))
+	for _, of := range []string{fleet.Calls, fleet.Repeats} {
+		if f.Budget(of) == nil {
+			continue
+		}
+		labels := prometheus.Labels{"of": of}
+		m.registry.MustRegister(
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "quincerail_fleet_rights", ConstLabels: labels,
+				Help: "What this member may have in hand of the fleet's budget."},
+				func() float64 { return float64(f.Stats().Budgets[of].Rights) }),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "quincerail_fleet_in_hand", ConstLabels: labels,
+				Help: "What this member has in hand of the fleet's budget."},
+				func() float64 { return float64(f.Stats().Budgets[of].InHand) }),
+			prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "quincerail_fleet_free", ConstLabels: labels,
+				Help: "What of the fleet's budget nobody holds, by a voter's log."},
+				func() float64 { return float64(f.Stats().Budgets[of].Free) }))
+	}
+	calls := f.Budget(fleet.Calls)
+	if calls == nil {
+		return
+	}
+	m.count = calls.Count
+	for _, kind := range kindNames {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "quincerail_fleet_answers",
+			ConstLabels: prometheus.Labels{"kind": kind}, Help: "Final answers of the whole fleet, as far as this member has heard."},
+			func() float64 { return float64(calls.Counted(kind)) }))
+	}
 }
 
 // Answered implements routing.Observer.
 func (m *metrics) Answered(class string, kind routing.Kind, took time.Duration, repeat bool) {
 	name := kindNames[kind]
 	m.answers.WithLabelValues(class, name).Inc()
+	m.count(name)
 	m.latency.WithLabelValues(class, name).Observe(took.Seconds())
 	if repeat {
 		m.repeats.WithLabelValues(class).Inc()
--- a/program/operator.cue
+++ b/program/operator.cue
@@ -52,6 +52,8 @@
 		// Calls that the whole fleet may have in hand at the shared dependency; 0
 		// for no such bound. The same at each member, as are the two below.
 		budget_calls: *0 | (int & >=0 & <=10000000)
+		// Repeats of calls that the whole fleet may make in any second; 0 for no bound.
+		budget_repeats: *0 | (int & >=0 & <=10000000)
 		// Without word from the budget's owner for so long, a member makes no calls.
 		horizon_ms: *60000 | (int & >=1000 & <=3600000)
 		// The longest that a call is in hand, at the dependency too.
@@ -76,6 +78,9 @@
 	if fleet.budget_calls > 0 && fleet.hold_ms*2 > fleet.horizon_ms {
 		fleet: hold_ms: error("calls that last half of horizon_ms leave a member that hears little no time to make any")
 	}
+	if fleet.budget_repeats > 0 && fleet.horizon_ms < 3000 {
+		fleet: horizon_ms: error("a repeat keeps its right for a second: 3000 at least wanted with budget_repeats")
+	}
 	if fleet.lease_ms*2 < fleet.election_ms {
 		fleet: lease_ms: error("shorter than half of election_ms, the lease would run out at each change of leaders")
 	}
--- a/program/operator.go
+++ b/program/operator.go
@@ -55,6 +55,7 @@
 		Slow      int               `json:"slow_ms"`
 		Publish   string            `json:"publish"`
 		Budget    uint64            `json:"budget_calls"`
+		Repeats   uint64            `json:"budget_repeats"`
 		Horizon   int               `json:"horizon_ms"`
 		Hold      int               `json:"hold_ms"`
 		ClockRate float64           `json:"clock_rate"`
@@ -72,7 +73,7 @@
 	f := &fleet.Config{Fleet: x.Name, Self: c.Name, Role: fleet.Role(x.Role), Raft: x.Raft, Gossip: x.Gossip, Dir: x.Dir,
 		Voters: x.Voters, Seeds: x.Seeds, Election: ms(x.Election), Term: ms(x.Lease), Drift: x.Drift, ClockRate: x.ClockRate,
 		Probe: c.Ledger, ProbeEvery: ms(x.Probe), Slow: ms(x.Slow), Publish: x.Publish, Logger: c.Logger,
-		Budget: x.Budget, Horizon: ms(x.Horizon), Hold: ms(x.Hold)}
+		Budget: x.Budget, Repeats: x.Repeats, Horizon: ms(x.Horizon), Hold: ms(x.Hold)}
 	return f, f.Validate()
 }
 
--- a/program/program.go
+++ b/program/program.go
@@ -127,8 +127,8 @@
 		}
 	}()
 	var budgeted *budgetedCalls
-	if member != nil && member.Budget() != nil {
-		budgeted = newBudgetedCalls(pool, nil, member.Budget(), func() time.Duration { return c.Settings.Linger })
+	if member != nil && member.Budget(fleet.Calls) != nil {
+		budgeted = newBudgetedCalls(pool, nil, member.Budget(fleet.Calls), func() time.Duration { return c.Settings.Linger })
 		opt.Dependency = budgeted
 	}
 	core, err := routing.New(opt)
@@ -139,6 +139,9 @@
 	if budgeted != nil {
 		budgeted.core, pool.core = core, budgeted
 	}
+	if member != nil {
+		bound(core, member)
+	}
 	if watch != nil {
 		watch.core.Store(core)
 	}
--- a/routing/core.go
+++ b/routing/core.go
@@ -94,13 +94,14 @@
 	keys      *keyTable
 	followUps []func() // events that the module's own actions bring
 	gauges    decision.Gauges
-	fit       bool          // health as the module sets it
-	stored    bool          // checks are answered from it alone
-	away      bool          // operators have its callers sent away
-	peer      Peer          // nil where this process is alone
-	elder     bool          // the peer was there first
-	untold    []*entry      // keys that a peer which has just come has not been told of
-	settled   chan struct{} // closed once nothing is open; nil where nobody waits for that
+	bounds    *decision.Bounds // of a fleet; nil for none
+	fit       bool             // health as the module sets it
+	stored    bool             // checks are answered from it alone
+	away      bool             // operators have its callers sent away
+	peer      Peer             // nil where this process is alone
+	elder     bool             // the peer was there first
+	untold    []*entry         // keys that a peer which has just come has not been told of
+	settled   chan struct{}    // closed once nothing is open; nil where nobody waits for that
 	draining  bool
 	stopAt    time.Duration
 	pools     *limits.Pools // nil where runs are bound by the module alone
@@ -226,6 +227,9 @@
 			return
 		}
 		c.module = module
+		if c.bounds != nil {
+			c.module.Bound(*c.bounds)
+		}
 		c.module.Decide(c.now - ago)
 		if c.draining {
 			c.module.Drain(c.now, c.stopAt)
@@ -233,6 +237,18 @@
 	})
 }
 
+// Bound has the module keep to this server's part of what its fleet shares, and
+// tells how many calls it has in hand or would make if it might; wanted is called
+// by Run's goroutine and must not block. Bounds.Repeat is called by it too.
+func (c *Core) Bound(b decision.Bounds, wanted func(calls int)) error {
+	return c.post(func() {
+		c.bounds = &b
+		if c.module != nil {
+			wanted(c.module.Bound(b))
+		}
+	})
+}
+
 // wake arranges the module's timer; it comes with the gauges of the moment, or
 // with the last ones if the machine is slow to tell.
 func (c *Core) wake(after time.Duration, token int64) {
