Carry rolling changes out between processes: stages, settings in versions, a command line

Each member reports what it counts to the voters; the owner of the lease rollout judges each window and enters the state into the voters' log, under its token and after the record that it was made from; settings go to servers as numbered merge patches, which they take over or turn down with a reason; programs are replaced by the operator's starter, by what /changes (quincerail rollout status|start|halt) says. Six processes (3 voters): a build a fifth worse halted on one server and its failing way back named; a good one through two lost owners, each stage once; one that writes what the old can't read, and one whose zone says nothing, halted. gossip tries another port where one that is free for TCP is taken for UDP (seen: a restarted member did not start).

--- a/cmd/quincerail/main.go
+++ b/cmd/quincerail/main.go
@@ -5,6 +5,7 @@
 //	quincerail [serve] [--operator FILE] [--uwsgi FILE] [--rules FILE] [--keys DIR]
 //	quincerail check [--operator FILE] [--uwsgi FILE] [--rules FILE]
 //	quincerail describe FILE [--rules FILE]
+//	quincerail rollout status|start|halt --address HOST:PORT
 //	quincerail keys DIR
 //	quincerail version
 //
@@ -26,6 +27,7 @@
 	Serve    serveCmd    `cmd:"" default:"withargs" help:"Serve, as the platform starts the program (the default)."`
 	Check    checkCmd    `cmd:"" help:"Check the configuration and the operator's files, and print every problem."`
 	Describe describeCmd `cmd:"" help:"Report what the operations of an OpenAPI or AsyncAPI description come to."`
+	Rollout  rolloutCmd  `cmd:"" help:"Ask a fleet's voter about rolling changes, start one, or halt it."`
 	Keys     keysCmd     `cmd:"" help:"Report what a folder of keys holds, changing nothing."`
 	Version  versionCmd  `cmd:"" help:"Print the program's version."`
 }
--- a/cmd/quincerail/serve.go
+++ b/cmd/quincerail/serve.go
@@ -110,8 +110,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	config.KeysDir, config.KeysSync, config.MetricsListen, config.Logger =
-		o.Keys.Dir, o.Keys.Sync, o.Metrics.Listen, logger
+	config.KeysDir, config.KeysSync, config.MetricsListen, config.ChangesListen, config.Logger =
+		o.Keys.Dir, o.Keys.Sync, o.Metrics.Listen, o.Fleet.Changes, logger
 	if config.Fleet, err = o.FleetOf(config); err != nil {
 		return nil, nil, err
 	}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -69,6 +69,12 @@
 	Horizon time.Duration // without word from the bank's owner, until a member makes no calls
 	Hold    time.Duration // the longest that a call is in hand
 
+	// Window is how often members report what they count, and how long a rollout's
+	// windows are; 0 for no rollouts. The same at each member.
+	Window  time.Duration
+	Version string // of the program, by the operator's name
+	Zone    string // that this process is in
+
 	Logger *slog.Logger // nil for slog.Default()
 }
 
@@ -79,6 +85,9 @@
 			return fmt.Errorf("fleet.horizon_ms: %w", err)
 		}
 	}
+	if c.Window > 0 && c.Version == "" {
+		return fmt.Errorf("fleet.version: a name for this version of the program wanted, as rollouts compare versions")
+	}
 	if c.Role != Voter {
 		return nil
 	}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -26,11 +26,13 @@
 	self    lease.Owner
 	board   *board
 	budgets map[string]*Budget // those that the fleet has
+	changes *changes
 	members *gossip.Members
 	stop    context.CancelFunc
 	joined  chan struct{} // closed when there are members to tell
 	worked  chan struct{} // closed when the worker has ended
-	shared  chan struct{} // closed when the budget is no longer kept
+	shared  chan struct{} // closed when the budgets are no longer kept
+	changed chan struct{} // closed when no change is driven any more
 
 	// Of a voter; nil in other members.
 	machine *machine
@@ -61,7 +63,8 @@
 	if err := c.Validate(); err != nil {
 		return nil, err
 	}
-	f := &Fleet{conf: c, log: c.Logger, joined: make(chan struct{}), worked: make(chan struct{}), shared: make(chan struct{})}
+	f := &Fleet{conf: c, log: c.Logger, joined: make(chan struct{}), worked: make(chan struct{}), shared: make(chan struct{}),
+		changed: make(chan struct{})}
 	if f.log == nil {
 		f.log = slog.Default()
 	}
@@ -83,24 +86,34 @@
 			}
 		}
 	}
+	f.changes = newChanges(f)
 	raft := ""
 	if c.Role == Voter {
 		if err := f.startVoter(fence, clock); err != nil {
 			return nil, err
 		}
 		raft = f.mesh.Addr().String()
+		f.changes.machine, f.changes.node = f.machine, f.node
 	}
 	var err error
 	if f.members, err = gossip.Start(gossip.Options{Fleet: c.Fleet, Self: c.Self, Listen: c.Gossip, Seeds: c.Seeds,
-		News: news{f}, Logger: f.log}); err != nil {
+		Role: string(c.Role), News: news{f}, Logger: f.log}); err != nil {
 		f.stopVoter()
 		return nil, err
 	}
+	f.changes.voters = func() []string { return f.members.Of(string(Voter)) }
+	f.changes.send, f.changes.stream = f.members.Send, f.members.Stream
 	close(f.joined)
 	ctx, stop := context.WithCancel(context.Background())
 	f.stop = stop
 	go f.work(ctx)
 	go f.share(ctx)
+	go func() {
+		defer close(f.changed)
+		if c.Window > 0 {
+			f.changes.run(ctx)
+		}
+	}()
 	f.log.Info("fleet", "name", c.Self, "role", string(c.Role), "raft", raft, "gossip", f.members.Addr())
 	return f, nil
 }
@@ -110,12 +123,15 @@
 	if len(f.budgets) > 0 {
 		wanted = append(wanted, Bank)
 	}
+	if f.conf.Window > 0 {
+		wanted = append(wanted, Rollout)
+	}
 	member, err := lease.NewMember(f.self, f.conf.timing(), wanted)
 	if err != nil {
 		return err
 	}
 	f.machine = &machine{log: f.log, fence: fence, member: member, moved: make(chan struct{}, 1), clock: clock,
-		banks: map[string]*share.Bank{}, changed: func(of string, accounts []share.Item) { f.budgets[of].changed(accounts) }}
+		asked: map[uint64]chan error{}, banks: map[string]*share.Bank{}, changed: func(of string, accounts []share.Item) { f.budgets[of].changed(accounts) }}
 	for kind, b := range f.budgets {
 		f.machine.banks[kind] = share.NewBank(b.total)
 	}
@@ -146,6 +162,8 @@
 	newsJudgement = 'j'
 	newsCalls     = 'c'
 	newsRepeats   = 'r'
+	newsReport    = 'p' // of a member to a voter
+	newsDirection = 'd' // of the owner of Rollout to a member
 )
 
 // news is what the members tell each other: gossip.News.
@@ -156,8 +174,13 @@
 	if len(piece) == 0 {
 		return "", false
 	}
-	if piece[0] == newsJudgement {
+	switch piece[0] {
+	case newsJudgement:
 		return n.f.board.heard(piece[1:])
+	case newsReport:
+		n.f.changes.heardReport(piece[1:])
+	case newsDirection:
+		n.f.changes.heardDirection(piece[1:])
 	}
 	for _, b := range n.f.budgets {
 		if b.news == piece[0] {
@@ -327,6 +350,7 @@
 	f.stop()
 	<-f.worked
 	<-f.shared
+	<-f.changed
 	if f.machine != nil {
 		until := time.Now().Add(within)
 		f.node.Do(f.machine.retire)
--- a/fleet/gossip/delegate.go
+++ b/fleet/gossip/delegate.go
@@ -5,10 +5,11 @@
 type delegate struct {
 	news    News
 	members *Members
+	role    string
 }
 
 // NodeMeta implements memberlist.Delegate.
-func (d delegate) NodeMeta(int) []byte { return nil }
+func (d delegate) NodeMeta(int) []byte { return []byte(d.role) }
 
 // NotifyMsg implements memberlist.Delegate. The bytes are the library's.
 func (d delegate) NotifyMsg(b []byte) { d.heard(append([]byte(nil), b...)) }
--- a/fleet/gossip/gossip.go
+++ b/fleet/gossip/gossip.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"log"
 	"log/slog"
 	"net"
 	"sort"
@@ -26,6 +27,7 @@
 	// Seeds are members to join by, name to address. They are always reached by
 	// these addresses, whatever they tell of themselves.
 	Seeds  map[string]string
+	Role   string // that this member tells all others of itself
 	News   News
 	Logger *slog.Logger // nil for slog.Default()
 }
@@ -73,22 +75,22 @@
 	if err != nil {
 		return nil, fmt.Errorf("gossip: port %q: %w", port, err)
 	}
-	log := opt.Logger
-	if log == nil {
-		log = slog.Default()
+	logger := opt.Logger
+	if logger == nil {
+		logger = slog.Default()
 	}
-	remarks := slog.NewLogLogger(log.Handler(), slog.LevelDebug)
-	udp, err := memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: bind, Logger: remarks})
+	remarks := slog.NewLogLogger(logger.Handler(), slog.LevelDebug)
+	udp, err := listen(host, bind, remarks)
 	if err != nil {
 		return nil, fmt.Errorf("gossip: %w", err)
 	}
-	m := &Members{log: log, sent: &counts{}, stop: make(chan struct{}), done: make(chan struct{})}
+	m := &Members{log: logger, sent: &counts{}, stop: make(chan struct{}), done: make(chan struct{})}
 	c := memberlist.DefaultLANConfig()
 	c.Name, c.Label, c.Logger = opt.Self, opt.Fleet, remarks
 	c.BindAddr, c.BindPort = host, udp.GetAutoBindPort()
 	c.AdvertiseAddr, c.AdvertisePort = host, udp.GetAutoBindPort()
 	c.Transport = routed{udp, opt.Seeds, m.sent}
-	c.Delegate = delegate{opt.News, m}
+	c.Delegate = delegate{opt.News, m, opt.Role}
 	// A member that restarts comes back at another address, which the others take
 	// only once they have found the old one dead; nobody tells it so but in an
 	// exchange of whole states (the library makes them rarer in large fleets).
@@ -109,6 +111,20 @@
 	return m, nil
 }
 
+// bindTries is how often any port is tried: one that is free for TCP may be taken
+// for UDP.
+const bindTries = 10
+
+func listen(host string, port int, remarks *log.Logger) (t *memberlist.NetTransport, err error) {
+	for range bindTries {
+		t, err = memberlist.NewNetTransport(&memberlist.NetTransportConfig{BindAddrs: []string{host}, BindPort: port, Logger: remarks})
+		if err == nil || port != 0 {
+			break
+		}
+	}
+	return t, err
+}
+
 // Addr is the member's own address.
 func (m *Members) Addr() string { return m.list.LocalNode().Address() }
 
@@ -122,6 +138,18 @@
 	return names
 }
 
+// Of names the members of a role that are thought to be alive, in order.
+func (m *Members) Of(role string) []string {
+	var names []string
+	for _, n := range m.list.Members() {
+		if string(n.Meta) == role {
+			names = append(names, n.Name)
+		}
+	}
+	sort.Strings(names)
+	return names
+}
+
 // count is asked by the library's goroutines, also before Create has returned.
 func (m *Members) count() int {
 	if l := m.created.Load(); l != nil {
@@ -143,14 +171,36 @@
 // Send gives a piece of news to one member by name, as a datagram that may be
 // lost. It does nothing where the member is not known.
 func (m *Members) Send(to string, piece []byte) {
+	if n := m.find(to); n != nil {
+		if err := m.list.SendBestEffort(n, piece); err != nil {
+			m.log.Debug("fleet_send", "to", to, "error", err.Error())
+		}
+	}
+}
+
+// Stream gives a piece of news, which may be too long for a datagram, to one
+// member by name, on a stream; it blocks until the piece was sent. The error says
+// that it was not, or that the member is not known; without one it may be lost
+// still.
+func (m *Members) Stream(to string, piece []byte) error {
+	n := m.find(to)
+	if n == nil {
+		return fmt.Errorf("gossip: no member %s", to)
+	}
+	if err := m.list.SendReliable(n, piece); err != nil {
+		return fmt.Errorf("gossip: %w", err)
+	}
+	return nil
+}
+
+// find gives a member by name, nil where it is not known as alive.
+func (m *Members) find(name string) *memberlist.Node {
 	for _, n := range m.list.Members() {
-		if n.Name == to {
-			if err := m.list.SendBestEffort(n, piece); err != nil {
-				m.log.Debug("fleet_send", "to", to, "error", err.Error())
-			}
-			return
+		if n.Name == name {
+			return n
 		}
 	}
+	return nil
 }
 
 // Stop takes leave of the others, waits for that to spread for a time at most,
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -9,13 +9,23 @@
 	"time"
 
 	"quincerail.example/quincerail/fleet/lease"
+	"quincerail.example/quincerail/fleet/rollout"
 	"quincerail.example/quincerail/fleet/share"
 )
 
 // command is an entry of the log: one about a lease, or an order for the bank.
 type command struct {
 	*lease.Command `json:"lease,omitempty"`
-	Bank           *bankOrder `json:"bank,omitempty"`
+	Bank           *bankOrder    `json:"bank,omitempty"`
+	Rollout        *rolloutOrder `json:"rollout,omitempty"`
+}
+
+// rolloutOrder is an order for the record of changes: a step under the token of
+// the lease Rollout, or an operator's, who waits for what comes of its nonce.
+type rolloutOrder struct {
+	Token lease.Token   `json:"token,omitzero"`
+	Nonce uint64        `json:"nonce,omitempty"`
+	Order rollout.Order `json:"order"`
 }
 
 // bankOrder is an order for the bank of a budget, under the token of the lease Bank: the
@@ -30,6 +40,7 @@
 type snapshot struct {
 	Leases *lease.Table           `json:"leases"`
 	Banks  map[string]*share.Bank `json:"banks,omitempty"`
+	Record rollout.Record         `json:"rollout"`
 }
 
 // machine is what a voter has under its log: consensus.Machine over
@@ -45,6 +56,8 @@
 	mu     sync.Mutex // the worker asks from its own goroutine
 	member *lease.Member
 	banks  map[string]*share.Bank // by budget
+	record rollout.Record         // of changes
+	asked  map[uint64]chan error  // operators that wait, by their orders' nonces
 }
 
 // Apply implements consensus.Machine.
@@ -58,6 +71,10 @@
 		m.order(*c.Bank, index)
 		return
 	}
+	if c.Rollout != nil {
+		m.change(*c.Rollout, index)
+		return
+	}
 	if c.Command == nil {
 		return
 	}
@@ -94,6 +111,64 @@
 	m.changed(o.Of, items)
 }
 
+// change takes in an order for the record of changes, unless it is a step of an
+// old owner's.
+func (m *machine) change(o rolloutOrder, index uint64) {
+	m.mu.Lock()
+	was := m.record
+	var err error
+	if g := m.member.Table().Grant(Rollout); o.Order.Kind == rollout.Step && (g.Token != o.Token || g.Free()) {
+		err = &lease.StaleError{Lease: Rollout, Token: o.Token, Highest: g.Token}
+	} else {
+		m.record, err = was.Apply(o.Order, index)
+	}
+	if outcome := m.asked[o.Nonce]; outcome != nil {
+		outcome <- err
+		delete(m.asked, o.Nonce) // it may come again, and is refused then
+	}
+	now := m.record
+	m.mu.Unlock()
+	if err != nil {
+		m.log.Warn("rollout_refused", "order", string(o.Order.Kind), "token", o.Token.String(), "error", err.Error())
+		return
+	}
+	if was.Plan != now.Plan || was.State.Phase != now.State.Phase || was.State.Stage != now.State.Stage {
+		m.log.Info("rollout", "plan", now.Plan.ID, "to", now.Plan.To, "phase", string(now.State.Phase), "stage", now.State.Stage,
+			"window", now.State.Window, "entry", index, "verdict", string(now.Decision.Verdict), "reason", now.Decision.Reason)
+	}
+}
+
+// changes gives the record of changes as it stands.
+func (m *machine) changes() rollout.Record {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.record.Clone()
+}
+
+// await gives where the outcome of an operator's order will come, and forget
+// gives that up.
+func (m *machine) await(nonce uint64) <-chan error {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	c := make(chan error, 1)
+	m.asked[nonce] = c
+	return c
+}
+
+func (m *machine) forget(nonce uint64) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	delete(m.asked, nonce)
+}
+
+// grant gives a lease's owner, "" where it is free, and the token of its grant.
+func (m *machine) grant(name string) (owner string, token lease.Token) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	g := m.member.Table().Grant(name)
+	return g.Owner.Member, g.Token
+}
+
 // tell says that a lease changed owners: to the log, to the fence, which so
 // knows of a grant ahead of the owner's acts, and to the worker.
 func (m *machine) tell(move lease.Move) {
@@ -133,7 +208,7 @@
 func (m *machine) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return json.Marshal(snapshot{m.member.Table(), m.banks})
+	return json.Marshal(snapshot{m.member.Table(), m.banks, m.record})
 }
 
 // Restore implements consensus.Machine.
@@ -147,6 +222,7 @@
 	}
 	m.mu.Lock()
 	moves := m.member.Restore(*s.Leases, m.clock())
+	m.record = s.Record
 	items := map[string][]share.Item{}
 	for of, bank := range s.Banks {
 		if m.banks[of] == nil {
--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -47,11 +47,11 @@
 
 // Decision is what became of a window.
 type Decision struct {
-	Verdict Verdict
-	Reason  string
+	Verdict Verdict `json:"verdict"`
+	Reason  string  `json:"reason"`
 	// Missing names the servers that a phase waits for: those of the wrong
 	// version, or without word.
-	Missing []string
+	Missing []string `json:"missing,omitempty"`
 }
 
 // Desired gives the version that each server is to run: who starts programs
@@ -97,6 +97,7 @@
 	desired := p.Desired(s)
 	var cohort, old []Sample
 	var missing, wrong []string
+	turnedDown := ""
 	for _, server := range p.Servers {
 		x, told := at[server.Name]
 		if !told {
@@ -108,6 +109,9 @@
 		switch {
 		case x.Version != desired[server.Name]:
 			wrong = append(wrong, server.Name)
+			if x.TurnedDown == desired[server.Name] {
+				turnedDown = fmt.Sprintf("%s turned %s down: %s", x.Server, x.TurnedDown, x.Reason)
+			}
 		case x.Version == p.To:
 			cohort = append(cohort, x)
 		default:
@@ -126,11 +130,14 @@
 		return s, Decision{Verdict: Halt, Reason: s.Reason}
 	case Watching:
 		return p.watching(s, old)
-	case Replacing:
+	}
+	if turnedDown != "" {
+		return s.halt(fmt.Sprintf("stage %d: %s", s.Stage, turnedDown))
+	}
+	if s.Phase == Replacing {
 		return p.replacing(s, waitFor, cohort)
-	default:
-		return p.baking(s, waitFor, wrong, cohort, old)
 	}
+	return p.baking(s, waitFor, cohort, old)
 }
 
 // watching takes in what the servers are like before anything changes.
@@ -147,9 +154,6 @@
 		u.add(x)
 		s.Used[x.Server] = u
 	}
-	if s.Waited < p.Watch {
-		return s, Decision{Verdict: Wait, Reason: "watching"}
-	}
 	var all Used
 	for _, u := range s.Used {
 		all.Requests += u.Requests
@@ -159,8 +163,45 @@
 	}
 	for s.SlowAt = 0; s.SlowAt < len(Bounds)-1 && all.Slower[s.SlowAt] > all.Requests/100; s.SlowAt++ {
 	}
-	s.Phase, s.Waited = Replacing, 0
-	return s, Decision{Verdict: GoOn, Reason: "the servers were watched"}
+	for _, m := range metrics(s.SlowAt) {
+		t := s.Tests[m.name]
+		t.Spread += spread(old, m.of, usual(s.Used, m.name, s.SlowAt))
+		t.Windows++
+		s.Tests[m.name] = t
+	}
+	if s.Waited < p.Watch {
+		return s, Decision{Verdict: Wait, Reason: "watching"}
+	}
+	reason := "the servers were watched"
+	if name := p.unknown(s, all); name != "" {
+		if s.Waited < p.WatchMost {
+			return s, Decision{Verdict: Wait, Reason: "watching: too little is known of " + name}
+		}
+		reason += ", and little is known of " + name
+	}
+	s.Phase, s.Waited, s.Tests = Replacing, 0, nil
+	return s, Decision{Verdict: GoOn, Reason: reason}
+}
+
+// unknown names an event of which too little is known, where it is not too rare
+// to be minded, to tell a stage that is no worse from one that is; "" for none.
+func (p *Plan) unknown(s State, all Used) string {
+	enough := p.Limits.enough(p.mistaken())
+	for _, m := range metrics(s.SlowAt) {
+		if all.of(m.name, s.SlowAt)*p.Limits.Worse <= p.Limits.Least*all.Requests {
+			continue
+		}
+		events := 0.0
+		for _, server := range p.bearing() {
+			u := s.Used[server.Name]
+			events += u.of(m.name, s.SlowAt)
+		}
+		t := s.Tests[m.name]
+		if events < enough*t.bursts() {
+			return m.name
+		}
+	}
+	return ""
 }
 
 // replacing waits until the stage's servers have the change, and says so.
@@ -184,15 +225,20 @@
 const mostCrashes = 2
 
 // baking compares the cohort with the old servers.
-func (p *Plan) baking(s State, waitFor, wrong []string, cohort, old []Sample) (State, Decision) {
+func (p *Plan) baking(s State, waitFor []string, cohort, old []Sample) (State, Decision) {
 	stage := p.Stages[s.Stage]
 	for _, x := range cohort {
-		s.Requests += x.Requests
 		s.Crashes += x.Crashes
 	}
 	if s.Crashes >= mostCrashes {
 		return s.halt(fmt.Sprintf("stage %d: %d crashes", s.Stage, s.Crashes))
 	}
+	if s.Waited <= p.Warm {
+		return s, Decision{Verdict: Wait, Reason: "the stage's servers warm up"}
+	}
+	for _, x := range cohort {
+		s.Requests += x.Requests
+	}
 	last := p.upTo(s.Stage) == len(p.Servers)
 	for _, m := range metrics(s.SlowAt) {
 		used := usual(s.Used, m.name, s.SlowAt)
@@ -210,24 +256,26 @@
 	worse := math.Log((1 - p.Limits.Missed) / p.mistaken())
 	fine := math.Log(p.Limits.Missed / (1 - p.mistaken()))
 	// A small cohort can't show as much as Missed asks of every rare event. It
-	// shows half of what it can, and a larger one the rest.
-	open := ""
+	// shows half of what it can, and a larger one the rest. Before a stage that is
+	// small itself it is enough that no test leans to worse, and in the end, that
+	// none says so.
+	open, small := "", p.small(s.Stage)
 	for _, name := range tests() {
 		t := s.Tests[name]
 		if w := t.weight(); w >= worse {
 			return s.halt(fmt.Sprintf("stage %d: %s is worse (evidence %.1f of %.1f, %d windows)", s.Stage, name, w, worse, t.Windows))
-		} else if w > max(fine, -t.reach(p.Limits.Worse)/2) && name != mixedTest && !t.rare(p.Limits.Worse, p.Limits.Least) && open == "" {
-			open = name
+		} else if name != mixedTest && !t.rare(p.Limits.Worse, p.Limits.Least) && open == "" {
+			if small && w > 0 || !small && w > max(fine, -t.reach(p.Limits.Worse)/2) {
+				open = name
+			}
 		}
 	}
 	switch {
-	case len(wrong) > 0:
-		return s.halt(fmt.Sprintf("stage %d: servers run another version than they should: %v", s.Stage, wrong))
-	case len(waitFor) > 0 && s.Waited < stage.Patience:
-		return s, Decision{Wait, "no word from servers of the stage", waitFor}
+	case len(waitFor) > 0 && s.Waited < stage.Patience: // one that crashed comes back as it was first
+		return s, Decision{Wait, "servers of the stage say nothing, or run another version", waitFor}
 	case len(waitFor) > 0:
-		return s.halt(fmt.Sprintf("stage %d: no word from %v", s.Stage, waitFor))
-	case last && s.Waited >= stage.Bake:
+		return s.halt(fmt.Sprintf("stage %d: no word, or another version, from %v", s.Stage, waitFor))
+	case last && s.Waited >= p.Warm+stage.Bake:
 		s.Phase = Done
 		return s, Decision{Verdict: GoOn, Reason: "all servers have the change"}
 	case !last && p.fewOld(s, old):
@@ -235,8 +283,10 @@
 			return s.halt(fmt.Sprintf("stage %d: too few old servers report to compare with", s.Stage))
 		}
 		return s, Decision{Verdict: Wait, Reason: "too few old servers report to compare with"}
-	case s.Waited < stage.Bake || s.Requests < stage.Sample || open != "":
-		if s.Waited >= stage.Patience {
+	case s.Waited < p.Warm+stage.Bake || s.Requests < stage.Sample || open != "":
+		if s.Waited >= stage.Patience && small && s.Requests >= stage.Sample {
+			break
+		} else if s.Waited >= stage.Patience {
 			return s.halt(fmt.Sprintf("stage %d: not shown to be no worse after %d windows: %d requests, open: %s", s.Stage, s.Waited, s.Requests, open))
 		}
 		return s, Decision{Verdict: Wait, Reason: "baking"}
--- a/fleet/rollout/test.go
+++ b/fleet/rollout/test.go
@@ -16,6 +16,9 @@
 	Crashes  uint64 `json:"crashes"`
 	// Slower counts answers by time: Slower[i] took Bounds[i] or longer.
 	Slower [len(Bounds)]uint64 `json:"slower"`
+	// TurnedDown is the version that it turned down last, and why.
+	TurnedDown string `json:"turned_down,omitempty"`
+	Reason     string `json:"reason,omitempty"`
 }
 
 // Bounds are the times that Sample.Slower counts by: steps of a quarter.
@@ -86,6 +89,18 @@
 	return t.Past * (worse - 1 - math.Log(worse)) / t.bursts()
 }
 
+// enough is how many events of its past a cohort needs so that, when it is no
+// worse, its evidence falls to Missed but for the chance mistaken, although both
+// its past and as much of its present again as there is patience for are drawn:
+// the n that solves n*rho - z*sqrt(n*4/3)*log(Worse) = -log(Missed).
+func (l Limits) enough(mistaken float64) float64 {
+	gain := math.Log(l.Worse)
+	rho := l.Worse - 1 - gain
+	z := math.Sqrt2 * math.Erfinv(1-2*mistaken) * math.Sqrt(4./3)
+	root := (z*gain + math.Sqrt(z*z*gain*gain-4*rho*math.Log(l.Missed))) / (2 * rho)
+	return root * root
+}
+
 // sigmas is how sure a bound on a rare event is.
 const sigmas = 4
 
--- /dev/null
+++ b/fleet/rollout_test.go
@@ -0,0 +1,284 @@
+package fleet_test
+
+import (
+	"fmt"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"quincerail.example/quincerail/internal/fault"
+	"quincerail.example/quincerail/internal/fleettest"
+	"quincerail.example/quincerail/internal/standin"
+)
+
+const window = 200 * time.Millisecond
+
+// plan is what the tests' rollouts go by, in windows.
+const plan = `watch = 20
+watch_most = 250
+warm = 5
+stages = [{share = 0, bake = 10, sample = 300, patience = %d}, {share = 0.5, bake = 10, sample = 600, patience = 600},
+  {share = 1, bake = 5, patience = 600}]
+limits = {worse = %v, mistaken = 0.01, missed = 0.001, least = 0.02}
+`
+
+// versions starts three voters and three members in three zones, which answer
+// two in five requests late, and builds what versions has: edits of the program.
+func versions(t *testing.T, o fleettest.Options, edits map[string]fleettest.Edit) run {
+	t.Helper()
+	o.Versions = map[string]string{"v2": binary}
+	for name, e := range edits {
+		var err error
+		if o.Versions[name], err = fleettest.BuildVariant(t.TempDir(), name, e); err != nil {
+			t.Fatal(err)
+		}
+	}
+	o.Version, o.Voters, o.Members, o.Load, o.Within = "v1", 3, 3, 8, 2*time.Minute
+	o.Settings = map[string]any{"election_ms": 500, "lease_ms": 500, "window_ms": window.Milliseconds()}
+	o.Own = map[string]map[string]any{}
+	for i, name := range []string{"v1", "v2", "v3", "m1", "m2", "m3"} {
+		o.Own[name] = map[string]any{"zone": fmt.Sprint("hall", i%3+1)}
+		if i < 3 {
+			o.Own[name]["changes"] = "127.0.0.1:0"
+		}
+	}
+	o.Adjust = func(config map[string]any) {
+		config["stop_ms"] = 1200
+		settings := config["settings"].(map[string]any)
+		info := settings["familyInfo"].(map[string]any)
+		info["cores"], info["keyKb"] = 16, 0.05
+		settings["obligations"].(map[string]any)["drainGraceUs"] = 200000
+		for _, lane := range settings["lanes"].([]any) {
+			lane.(map[string]any)["goalTimeUs"] = 40000
+		}
+	}
+	o.Work = func() *standin.Work {
+		w := standin.NewWork(2 * time.Millisecond)
+		w.Thousandths, w.Slow = 400, 60*time.Millisecond
+		return w
+	}
+	return startFleet(t, o)
+}
+
+// operator runs the program's rollout command against a voter.
+func (r run) operator(voter, command string, args ...string) (string, error) {
+	r.t.Helper()
+	address, err := r.Operators(voter)
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	out, err := exec.Command(binary, append([]string{"rollout", command, "--address", address}, args...)...).CombinedOutput()
+	return string(out), err
+}
+
+// begin starts a rollout, once all six servers are known to a voter.
+func (r run) begin(patience int, worse float64, args ...string) {
+	r.t.Helper()
+	file := filepath.Join(r.t.TempDir(), "plan.toml")
+	writeFile(r.t, file, fmt.Sprintf(plan, patience, worse))
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(window) {
+		if s, err := r.Change("v1"); err == nil && len(s.Servers) == 6 {
+			break
+		} else if time.Now().After(deadline) {
+			r.t.Fatalf("v1 knows of %d servers: %v", len(s.Servers), err)
+		}
+	}
+	if out, err := r.operator("v1", "start", append([]string{"--plan", file}, args...)...); err != nil {
+		r.t.Fatalf("%v: %s", err, out)
+	}
+}
+
+// phase waits until a voter's log has the rollout in a phase and stage, and gives
+// the line.
+func (r run) phase(voter, phase, stage string) fleettest.Line {
+	r.t.Helper()
+	l, err := r.Await("phase "+phase+" of stage "+stage, 0, func(l fleettest.Line) bool {
+		return (voter == "" || l.Child == voter) && l.Event == "rollout" && l.Fields["phase"] == phase && (stage == "" || l.Fields["stage"] == stage)
+	})
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return l
+}
+
+// course gives the phases and stages that a rollout went through, by the voters'
+// logs, which must agree entry by entry.
+func (r run) course() (out []string) {
+	r.t.Helper()
+	at := map[string]string{}
+	for _, l := range r.Lines() {
+		if l.Event != "rollout" {
+			continue
+		}
+		what := l.Fields["phase"] + " " + l.Fields["stage"]
+		entry := l.Fields["entry"]
+		if was, known := at[entry]; known && was != what {
+			r.t.Errorf("entry %s is %q and %q", entry, was, what)
+		} else if !known {
+			out = append(out, what)
+		}
+		at[entry] = what
+	}
+	return slices.DeleteFunc(out, func(s string) bool { return s == " 0" || s == "watching 0" })
+}
+
+func (r run) wantCourse(want ...string) {
+	r.t.Helper()
+	if got := r.course(); !slices.Equal(got, want) {
+		r.t.Errorf("the rollout went %q, want %q", got, want)
+	}
+}
+
+// TestRolloutWorse rolls out a build that answers a fifth more requests late: it
+// is halted at the first stage, on one server. The way back fails there at first:
+// the server is named until it is back.
+func TestRolloutWorse(t *testing.T) {
+	const tell = "tell = func() { p.core.Completed(n.ID, end, n.Took, routing.Payload{Body: n.Payload}) }"
+	r := versions(t, fleettest.Options{Word: "page"}, map[string]fleettest.Edit{"late": {
+		File: filepath.Join("..", "program", "processor.go"), Old: tell,
+		// Of the three in five that were in time two in fifteen are late now.
+		New: tell + "\nif time.Now().UnixMicro()%1000 < 134 {\ninTime := tell\ntell = func() { time.AfterFunc(60*time.Millisecond, inTime) }\n}",
+	}})
+	r.begin(900, 1.2, "--id", "r1", "--from", "v1", "--to", "late")
+	stuck := make(chan struct{})
+	starter := r.Starter(func(_, version string) bool {
+		if version == "late" {
+			return false
+		}
+		select {
+		case <-stuck:
+			return false
+		default:
+			return true
+		}
+	})
+	back := r.phase("", "back", "0")
+	if !strings.Contains(back.Fields["reason"], "late is worse") && !strings.Contains(back.Fields["reason"], "slow is worse") {
+		t.Errorf("halted for %q", back.Fields["reason"])
+	}
+	if r.Running("late") != 1 {
+		t.Errorf("%d servers run it", r.Running("late"))
+	}
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(window) {
+		if out, err := r.operator("v2", "status"); err == nil && strings.Contains(out, "waits for:") {
+			break
+		} else if time.Now().After(deadline) {
+			t.Fatalf("no server is named: %v\n%s", err, out)
+		}
+	}
+	close(stuck)
+	r.phase("", "halted", "0")
+	most, err := starter.Stop()
+	if err != nil || most["late"] != 1 || r.Running("v1") != 6 {
+		t.Errorf("%v, at most %v, %d run v1", err, most, r.Running("v1"))
+	}
+	r.wantCourse("replacing 0", "baking 0", "back 0", "halted 0")
+}
+
+// TestRolloutOwners rolls out a good build while owners of the rollout are killed
+// and stopped in the midst of stages: it goes through each stage once, and an old
+// owner that wakes late changes nothing.
+func TestRolloutOwners(t *testing.T) {
+	r := versions(t, fleettest.Options{Word: "page"}, nil)
+	r.begin(900, 1.5, "--id", "r2", "--from", "v1", "--to", "v2")
+	owner := func() string {
+		for _, v := range []string{"v1", "v2", "v3"} {
+			if s, err := r.Change(v); err == nil && s.Owner != "" {
+				return s.Owner
+			}
+		}
+		t.Fatal("nobody owns the rollout")
+		return ""
+	}
+	starter := r.Starter(nil)
+	r.phase("", "baking", "0")
+	killed := owner()
+	if err := r.Kill(killed); err != nil {
+		t.Fatal(err)
+	}
+	from := len(r.Lines())
+	if _, err := r.Await("another owner", from, func(l fleettest.Line) bool {
+		return l.Event == "lease" && l.Fields["lease"] == "rollout" && l.Fields["to"] != killed && l.Fields["to"] != ""
+	}); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Launch(killed); err != nil {
+		t.Fatal(err)
+	}
+	r.phase("", "replacing", "1")
+	stopped := owner()
+	r.signal(stopped, syscall.SIGSTOP)
+	if _, err := r.Await("another owner", len(r.Lines()), func(l fleettest.Line) bool {
+		return l.Event == "lease" && l.Fields["lease"] == "rollout" && l.Child != stopped && l.Fields["to"] != stopped && l.Fields["to"] != ""
+	}); err != nil {
+		t.Fatal(err)
+	}
+	r.signal(stopped, syscall.SIGCONT)
+	r.phase("", "done", "2")
+	most, err := starter.Stop()
+	if err != nil || most["v2"] != 6 {
+		t.Errorf("%v, at most %v", err, most)
+	}
+	r.wantCourse("replacing 0", "baking 0", "replacing 1", "baking 1", "replacing 2", "baking 2", "done 2")
+	if out, err := r.operator("v3", "start", "--id", "r2", "--from", "v1", "--to", "v2"); err == nil || !strings.Contains(out, "was there before") {
+		t.Errorf("the same plan once more: %v, %s", err, out)
+	}
+}
+
+// TestRolloutMixed rolls out a build that is fine alone, and writes what the old
+// one can't read: the old servers' failures halt it.
+func TestRolloutMixed(t *testing.T) {
+	const post = "post := ledger.AppendPost(nil, id, wait, body)"
+	r := versions(t, fleettest.Options{Class: "ny-gava", Took: 5 * time.Millisecond}, map[string]fleettest.Edit{"newform": {
+		File: filepath.Join("..", "program", "ledger.go"), Old: post,
+		New: fmt.Sprintf("post := ledger.AppendPost(nil, id, wait, append([]byte(%q), body...))", standin.NewForm)}})
+	r.begin(900, 1.5, "--id", "r3", "--from", "v1", "--to", "newform")
+	starter := r.Starter(nil)
+	back := r.phase("", "back", "0")
+	if !strings.Contains(back.Fields["reason"], "old-failed is worse") {
+		t.Errorf("halted for %q", back.Fields["reason"])
+	}
+	r.phase("", "halted", "0")
+	if most, err := starter.Stop(); err != nil || most["newform"] != 1 {
+		t.Errorf("%v, at most %v", err, most)
+	}
+}
+
+// TestRolloutSilent cuts off what one zone says once its server has the change:
+// what is not reported is never good, so the stage waits, and goes back.
+func TestRolloutSilent(t *testing.T) {
+	r := versions(t, fleettest.Options{Word: "page"}, nil)
+	r.begin(40, 1.5, "--id", "r4", "--from", "v1", "--to", "v2")
+	starter := r.Starter(nil)
+	r.phase("", "replacing", "0")
+	// The plan's name draws which server is the first: a plain member here.
+	var first string
+	for deadline := time.Now().Add(30 * time.Second); first == ""; time.Sleep(window) {
+		for name := range r.Children {
+			if s, err := r.Change("v1"); err == nil && s.Desired[name] == "v2" {
+				first = name
+			}
+		}
+		if time.Now().After(deadline) {
+			t.Fatal("no server is to run v2")
+		}
+	}
+	if !strings.HasPrefix(first, "m") {
+		t.Fatalf("the first is %s", first)
+	}
+	zone := r.Own(first)["zone"]
+	r.Net.Set(fault.Rule{Cut: true}, func(p *fault.Pair) bool { return p.Kind == "gossip" && r.Own(p.From)["zone"] == zone })
+	back := r.phase("", "back", "0")
+	if !strings.Contains(back.Fields["reason"], "no word") && !strings.Contains(back.Fields["reason"], "did not come to run") {
+		t.Errorf("halted for %q", back.Fields["reason"])
+	}
+	r.Net.Heal()
+	r.phase("", "halted", "0")
+	if most, err := starter.Stop(); err != nil || most["v2"] != 1 {
+		t.Errorf("%v, at most %v", err, most)
+	}
+}
--- a/internal/standin/shared.go
+++ b/internal/standin/shared.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"fmt"
 	"net"
+	"strings"
 	"sync"
 	"time"
 
@@ -13,7 +14,9 @@
 // SharedLedger stands in for a ledger that a whole fleet shares: each call takes
 // a time there, whether it is given up or not, and it knows how many it had in
 // hand at most, and how many repeats came in a second at most. Of the requests
-// that call it, it turns the first call of some away.
+// that call it, it turns the first call of some away. A body that begins with
+// NewForm leaves a record there which calls without it can't read: each such
+// record has one of them fail.
 type SharedLedger struct {
 	listener  net.Listener
 	took      time.Duration
@@ -22,12 +25,16 @@
 	mu      sync.Mutex
 	seen    map[string]bool // requests that called
 	repeats []time.Time
+	newForm int // records that the old form's calls can't read
 	inHand  int
 	most    int
 	done    int
 	changed chan struct{} // closed and made anew when a call ends
 }
 
+// NewForm is what calls of a newer version's form begin with.
+const NewForm = "new form "
+
 // NewSharedLedger starts a ledger whose calls take a time each, and which turns
 // the first call of one in turnsAway requests away; of none for 0.
 func NewSharedLedger(address string, took time.Duration, turnsAway int) (*SharedLedger, error) {
@@ -99,6 +106,13 @@
 			mu.Unlock()
 			continue
 		}
+		status := "posted"
+		if strings.HasPrefix(string(body), NewForm) {
+			s.newForm++
+		} else if s.newForm > 0 {
+			s.newForm--
+			status = "error"
+		}
 		s.inHand++
 		s.most = max(s.most, s.inHand)
 		s.mu.Unlock()
@@ -111,6 +125,10 @@
 			s.mu.Unlock()
 			mu.Lock()
 			defer mu.Unlock()
+			if status != "posted" {
+				fmt.Fprintf(nc, "%s %s\r\n", words[1], status)
+				return
+			}
 			result := Result(string(body))
 			fmt.Fprintf(nc, "%s posted %d\r\n%s\r\n", words[1], len(result), result)
 		})
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,7 +36,7 @@
 	startShare   = 0.25                  // [ours] the Controller starts at this share of the shortest aim
 	budgetShare  = 0.1                   // [measured] repeats earned by each first call
 	budgetMost   = 10.0                  // [ours] repeats saved up at most
-	repeatRest   = time.Second / 10      // [ours] until a repeat that the fleet had no room for is looked at again
+	repeatRest   = time.Second / 10      // [ours] until a repeat that the fleet had no room for is tried
 	breakAt      = 0.5                   // [page] most recent calls failing: below is marked failed
 	breakFor     = time.Second           // [ours] how long ordinary calls stop
 	callGoal     = 0.4                   // [measured] of the told call share is in hand on average
--- /dev/null
+++ b/program/changes.go
@@ -0,0 +1,221 @@
+package program
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"log/slog"
+	"net"
+	"net/http"
+	"slices"
+	"sync"
+	"time"
+
+	jsonpatch "github.com/evanphx/json-patch/v5"
+
+	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/fleet"
+	"quincerail.example/quincerail/fleet/rollout"
+	"quincerail.example/quincerail/routing"
+)
+
+// observers tells several.
+type observers []routing.Observer
+
+// Answered implements routing.Observer.
+func (o observers) Answered(class string, kind routing.Kind, took time.Duration, repeat bool) {
+	for _, x := range o {
+		x.Answered(class, kind, took, repeat)
+	}
+}
+
+// tally counts what a rollout compares servers by.
+type tally struct {
+	mu     sync.Mutex
+	aims   map[string]time.Duration // by class
+	totals rollout.Totals
+}
+
+// tune takes over the classes' aims.
+func (t *tally) tune(names []string, s decision.Settings) {
+	aims := make(map[string]time.Duration, len(names))
+	for i, name := range names {
+		aims[name] = s.Classes[i].Aim
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.aims = aims
+}
+
+// Answered implements routing.Observer.
+func (t *tally) Answered(class string, kind routing.Kind, took time.Duration, _ bool) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.totals.Requests++
+	switch kind {
+	case routing.Refused:
+		t.totals.Refused++
+	case routing.Failed, routing.TimedOut:
+		t.totals.Failed++
+	case routing.Served:
+		if aim, ok := t.aims[class]; ok && took > aim {
+			t.totals.Late++
+		}
+		for i := 0; i < len(rollout.Bounds) && took >= rollout.Bounds[i]; i++ {
+			t.totals.Slower[i]++
+		}
+	}
+}
+
+// changeable is what the fleet's rollouts change: fleet.Subject.
+type changeable struct {
+	*tally
+	server *Server
+}
+
+// Totals implements fleet.Subject.
+func (c changeable) Totals() rollout.Totals {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.totals
+}
+
+// Apply implements fleet.Subject.
+func (c changeable) Apply(patch json.RawMessage) error {
+	s := c.server
+	s.reloading.Lock()
+	defer s.reloading.Unlock()
+	next, err := s.file.with(patch)
+	if err != nil {
+		return err
+	}
+	if err := s.keepsClasses(next); err != nil {
+		return err
+	}
+	if err := s.reload(next, nil); err != nil {
+		return err
+	}
+	s.patch = patch
+	return nil
+}
+
+// with gives a configuration whose settings are changed by a JSON merge patch
+// (RFC 7396); nil changes nothing. An error names the key at fault.
+func (c *Config) with(patch json.RawMessage) (*Config, error) {
+	if len(patch) == 0 {
+		return c, nil
+	}
+	whole, err := json.Marshal(map[string]json.RawMessage{"settings": patch})
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	text, err := jsonpatch.MergePatch([]byte(c.text), whole)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	n, err := ParseConfig(string(text))
+	if err != nil {
+		return nil, err
+	}
+	if key := n.lacks(c); key != "" {
+		return nil, fmt.Errorf("%s: it is missing", key)
+	}
+	n.Control, n.ListenFD = c.Control, c.ListenFD
+	n.Rules, n.KeysDir, n.KeysSync, n.Logger, n.MetricsListen, n.ChangesListen, n.Fleet =
+		c.Rules, c.KeysDir, c.KeysSync, c.Logger, c.MetricsListen, c.ChangesListen, c.Fleet
+	return n, nil
+}
+
+// keepsClasses refuses settings without a class that the rules, or the uwsgi
+// front, lead to: valid alone, they would have requests of no class.
+func (s *Server) keepsClasses(c *Config) error {
+	if s.uwsgi == nil && s.file.Rules == nil {
+		return nil
+	}
+	for _, name := range s.file.Classes {
+		if !slices.Contains(c.Classes, name) {
+			return fmt.Errorf("settings.lanes: %s is missing, and the rules or the uwsgi front may lead to it", name)
+		}
+	}
+	return nil
+}
+
+// askWithin is how long the fleet's log may take to take an operator's order.
+const askWithin = 5 * time.Second
+
+// ChangeRequest is what operators send to start a rollout: a plan, with the
+// settings for one of settings.
+type ChangeRequest struct {
+	Plan     rollout.Plan    `json:"plan"`
+	Settings json.RawMessage `json:"settings,omitempty"`
+}
+
+// changesDoor is where operators call about rollouts, over HTTP, at the path
+// /changes:
+//
+//	GET     a fleet.ChangeStatus
+//	POST    a ChangeRequest
+//	DELETE  halts the plan of the query's id, with its reason
+//
+// 409 and a line say why an order was turned down; 421 that this process is no
+// voter; 503 that the fleet's log does not take orders now.
+type changesDoor struct{ fleet *fleet.Fleet }
+
+// ServeHTTP implements http.Handler.
+func (d changesDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), askWithin)
+	defer cancel()
+	var err error
+	switch r.Method {
+	case http.MethodGet:
+		var s fleet.ChangeStatus
+		if s, err = d.fleet.Change(); err == nil {
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(s) // to one who has left, if it fails
+			return
+		}
+	case http.MethodPost:
+		var c ChangeRequest
+		in := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4<<20))
+		in.DisallowUnknownFields()
+		if err = in.Decode(&c); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		err = d.fleet.StartChange(ctx, c.Plan, c.Settings)
+	case http.MethodDelete:
+		err = d.fleet.StopChange(ctx, r.URL.Query().Get("id"), r.URL.Query().Get("reason"))
+	default:
+		w.Header().Set("Allow", "GET, POST, DELETE")
+		http.Error(w, r.Method, http.StatusMethodNotAllowed)
+		return
+	}
+	switch {
+	case err == nil:
+		w.WriteHeader(http.StatusNoContent)
+	case errors.Is(err, fleet.ErrNoVoter):
+		http.Error(w, err.Error(), http.StatusMisdirectedRequest)
+	case errors.Is(err, context.DeadlineExceeded):
+		http.Error(w, err.Error(), http.StatusServiceUnavailable)
+	default:
+		http.Error(w, err.Error(), http.StatusConflict)
+	}
+}
+
+// serveHTTP serves an operators' listener until the server is closed; event names
+// it in the log.
+func serveHTTP(event, address string, h http.Handler, log *slog.Logger) (*http.Server, net.Addr, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, fmt.Errorf("%s: %w", event, err)
+	}
+	hs := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
+	go func() {
+		if err := hs.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+			log.Warn(event+"_stopped", "error", err.Error())
+		}
+	}()
+	log.Info(event, "address", l.Addr().String())
+	return hs, l.Addr(), nil
+}
--- a/program/metrics.go
+++ b/program/metrics.go
@@ -1,9 +1,6 @@
 package program
 
 import (
-	"errors"
-	"log/slog"
-	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -132,20 +129,9 @@
 	}
 }
 
-// serve offers /metrics at an address until the server is closed.
-func (m *metrics) serve(address string, log *slog.Logger) (*http.Server, net.Addr, error) {
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, nil, err
-	}
+// handler offers /metrics.
+func (m *metrics) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.Handle("/metrics", promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{}))
-	hs := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	go func() {
-		if err := hs.Serve(l); !errors.Is(err, http.ErrServerClosed) {
-			log.Warn("metrics_stopped", "error", err.Error())
-		}
-	}()
-	log.Info("metrics", "address", l.Addr().String())
-	return hs, l.Addr(), nil
+	return mux
 }
--- a/program/operator.cue
+++ b/program/operator.cue
@@ -58,6 +58,15 @@
 		horizon_ms: *60000 | (int & >=1000 & <=3600000)
 		// The longest that a call is in hand, at the dependency too.
 		hold_ms: *10000 | (int & >=10 & <=600000)
+		// Rollouts (docs/rollout.md): how often members report, and how long the
+		// windows are that servers are compared by; 0 for no rollouts. The same at
+		// each member.
+		window_ms: *0 | (int & >=0 & <=600000)
+		// What this build of the program is called, and where this process is.
+		version: *"" | =~"^[0-9A-Za-z._+-]{1,64}$"
+		zone:    *"" | string
+		// Where operators call a voter about rollouts; "" for nowhere.
+		changes: *"" | #address
 		// For drills: this member's lease clock runs at such a rate.
 		clock_rate: *1.0 | (number & >=0.5 & <=2)
 	}
@@ -81,6 +90,12 @@
 	if fleet.budget_repeats > 0 && fleet.horizon_ms < 3000 {
 		fleet: horizon_ms: error("a repeat keeps its right for a second: 3000 at least wanted with budget_repeats")
 	}
+	if fleet.window_ms > 0 && fleet.version == "" {
+		fleet: version: error("rollouts compare versions: a name for this one wanted")
+	}
+	if fleet.changes != "" && fleet.window_ms == 0 {
+		fleet: changes: error("there are no rollouts to call about without window_ms")
+	}
 	if fleet.lease_ms*2 < fleet.election_ms {
 		fleet: lease_ms: error("shorter than half of election_ms, the lease would run out at each change of leaders")
 	}
--- a/program/operator.go
+++ b/program/operator.go
@@ -59,6 +59,10 @@
 		Horizon   int               `json:"horizon_ms"`
 		Hold      int               `json:"hold_ms"`
 		ClockRate float64           `json:"clock_rate"`
+		Window    int               `json:"window_ms"`
+		Version   string            `json:"version"`
+		Zone      string            `json:"zone"`
+		Changes   string            `json:"changes"`
 	} `json:"fleet"`
 }
 
@@ -73,7 +77,7 @@
 	f := &fleet.Config{Fleet: x.Name, Self: c.Name, Role: fleet.Role(x.Role), Raft: x.Raft, Gossip: x.Gossip, Dir: x.Dir,
 		Voters: x.Voters, Seeds: x.Seeds, Election: ms(x.Election), Term: ms(x.Lease), Drift: x.Drift, ClockRate: x.ClockRate,
 		Probe: c.Ledger, ProbeEvery: ms(x.Probe), Slow: ms(x.Slow), Publish: x.Publish, Logger: c.Logger,
-		Budget: x.Budget, Repeats: x.Repeats, Horizon: ms(x.Horizon), Hold: ms(x.Hold)}
+		Budget: x.Budget, Repeats: x.Repeats, Horizon: ms(x.Horizon), Hold: ms(x.Hold), Window: ms(x.Window), Version: x.Version, Zone: x.Zone}
 	return f, f.Validate()
 }
 
