--- a/fleet/rollout/rollout.go
+++ b/fleet/rollout/rollout.go
@@ -264,7 +264,7 @@
 		t := s.Tests[name]
 		if w := t.weight(); w >= worse {
 			return s.halt(fmt.Sprintf("stage %d: %s is worse (evidence %.1f of %.1f, %d windows)", s.Stage, name, w, worse, t.Windows))
-		} else if name != mixedTest && !t.rare(p.Limits.Worse, p.Limits.Least) && open == "" {
+		} else if name != mixedTest && !t.rare(p.Limits.Least) && open == "" {
 			if small && w > 0 || !small && w > max(fine, -t.reach(p.Limits.Worse)/2) {
 				open = name
 			}
--- a/fleet/rollout/test.go
+++ b/fleet/rollout/test.go
@@ -104,13 +104,9 @@
 // sigmas is how sure a bound on a rare event is.
 const sigmas = 4
 
-// rare tells whether the cohort's rate is surely within least of what it may be.
-func (t *Test) rare(worse, least float64) bool {
-	if t.Of == 0 || t.OldOf == 0 {
-		return false
-	}
-	most := (t.Bad + sigmas*math.Sqrt(t.Bad*t.bursts()) + sigmas) / t.Of
-	return most <= least || t.OldBad/t.OldOf*worse <= least && most <= 2*least
+// rare tells whether the cohort's rate is surely within least.
+func (t *Test) rare(least float64) bool {
+	return t.Of > 0 && (t.Bad+sigmas*math.Sqrt(t.Bad*t.bursts())+sigmas)/t.Of <= least
 }
 
 // spread is the variance of the events of single servers over their mean, given
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -1,7 +1,9 @@
 package fleet_test
 
 import (
+	"encoding/json"
 	"fmt"
+	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -282,3 +284,86 @@
 		t.Errorf("%v, at most %v", err, most)
 	}
 }
+
+// settings waits until a server's log says that it put settings in force, from a
+// place of the logs on.
+func (r run) settings(server, number string, from int) {
+	r.t.Helper()
+	r.line(from, server, "settings", func(f map[string]string) bool { return f["settings"] == number })
+}
+
+// TestSettings rolls out settings: good ones reach all servers, also one that
+// comes back as its file says. Then ones that are valid alone: a server whose
+// rules lead to a class that they rename turns them down, and all go back. One
+// that the stream does not reach meanwhile keeps the last good ones.
+func TestSettings(t *testing.T) {
+	rules, err := filepath.Abs(filepath.Join("..", "deploy", "rules.toml"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	r := versions(t, fleettest.Options{Word: "page", Files: map[string]map[string]any{"m2": {"rules": rules}}}, nil)
+	good, bad := filepath.Join(t.TempDir(), "good.json"), filepath.Join(t.TempDir(), "bad.json")
+	writeFile(t, good, `{"familyInfo": {"idleUs": 20000000}}`)
+	text, err := os.ReadFile(filepath.Join("..", "example", "config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var example struct {
+		Settings struct {
+			Lanes []map[string]any `json:"lanes"`
+		} `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &example); err != nil {
+		t.Fatal(err)
+	}
+	lanes := example.Settings.Lanes
+	lanes[1]["name"] = "givarhistorik-2"
+	patch, err := json.Marshal(map[string]any{"lanes": lanes})
+	if err != nil {
+		t.Fatal(err)
+	}
+	writeFile(t, bad, string(patch))
+
+	r.begin(900, 1.5, "--id", "s1", "--settings", good)
+	r.phase("", "done", "2")
+	for name := range r.Children {
+		r.settings(name, "1", 0)
+	}
+	from := len(r.Lines())
+	if err := r.Kill("m1"); err != nil {
+		t.Fatal(err)
+	}
+	if err := r.Launch("m1"); err != nil { // as its file says
+		t.Fatal(err)
+	}
+	r.settings("m1", "1", from)
+
+	r.Net.Set(fault.Rule{Cut: true}, func(p *fault.Pair) bool { return p.Kind == "gossip" && p.To == "m3" })
+	from = len(r.Lines())
+	r.begin(900, 1.5, "--id", "s2", "--settings", bad)
+	back, err := r.Await("the way back", from, func(l fleettest.Line) bool { return l.Event == "rollout" && l.Fields["phase"] == "back" })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if why := back.Fields["reason"]; !strings.Contains(why, "m2 turned 2 down") || !strings.Contains(why, "givarhistorik") {
+		t.Errorf("halted for %q", why)
+	}
+	if _, err := r.Await("all back", from, func(l fleettest.Line) bool { return l.Event == "rollout" && l.Fields["phase"] == "halted" }); err != nil {
+		t.Fatal(err)
+	}
+	r.Net.Heal()
+	s, err := r.Change("v1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, x := range s.Servers {
+		if x.Settings != 1 {
+			t.Errorf("%s runs settings %d", x.Name, x.Settings)
+		}
+	}
+	for _, l := range r.Lines()[from:] {
+		if l.Child == "m3" && l.Event == "settings" {
+			t.Errorf("m3, cut off: %s", l.Text)
+		}
+	}
+}
--- a/internal/fleetlab/share.go
+++ b/internal/fleetlab/share.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"os"
 	"path/filepath"
 	"sync"
 	"time"
@@ -18,6 +19,7 @@
 type shareCmd struct {
 	Members []int  `default:"300,3000" help:"Sizes of fleets."`
 	Seed    uint64 `default:"1"`
+	Beside  int    `default:"2" help:"Plays at a time: one of 3,000 members takes some GiB."`
 	Charts  string `default:"docs" help:"Folder for the charts."`
 }
 
@@ -77,8 +79,14 @@
 		}
 	}
 	var wg sync.WaitGroup
+	room := make(chan struct{}, c.Beside)
 	for _, j := range jobs {
-		wg.Go(func() { j.out, j.err = c.play(j.members, j.p) })
+		wg.Go(func() {
+			room <- struct{}{}
+			defer func() { <-room }()
+			j.out, j.err = c.play(j.members, j.p)
+			fmt.Fprintf(os.Stderr, "%d members, %s: %+.3f\n", j.members, j.p.name, []float64{j.out.healed, j.out.cut, j.out.again})
+		})
 	}
 	wg.Wait()
 	fmt.Println("| members | partition | overshoot | served before | cut | after | rounds to know | bytes/s a member |")
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -110,6 +110,8 @@
 	Settings map[string]any
 	// Own are such lines of one member, by name.
 	Own map[string]map[string]any
+	// Files are further keys of one member's operator's file, by name.
+	Files map[string]map[string]any
 	// Direct has plain members join the voters, and be reached, without proxies:
 	// for measurements with hundreds of members.
 	Direct bool
@@ -138,7 +140,8 @@
 	args   []string
 	config string
 	dir    string
-	fleet  map[string]any // of its operator's file
+	fleet  map[string]any // of its operator's file, and the rest of that
+	files  map[string]any
 	binary string
 
 	processor *standin.Processor // where there is load
@@ -288,7 +291,7 @@
 	}
 	maps.Copy(fleet, f.opt.Settings)
 	maps.Copy(fleet, f.opt.Own[name])
-	c.fleet = fleet
+	c.fleet, c.files = fleet, f.opt.Files[name]
 	if err := write(c.config, config); err != nil {
 		return err
 	}
@@ -322,8 +325,9 @@
 	}
 	operator := filepath.Join(c.dir, "operator.cue") // JSON is CUE
 	c.args = []string{"serve", "--operator", operator}
-	return write(operator, map[string]any{"fleet": c.fleet, "metrics": map[string]any{"listen": "127.0.0.1:0"},
-		"log": map[string]any{"repeats": 0}})
+	all := map[string]any{"fleet": c.fleet, "metrics": map[string]any{"listen": "127.0.0.1:0"}, "log": map[string]any{"repeats": 0}}
+	maps.Copy(all, c.files)
+	return write(operator, all)
 }
 
 // Replace ends a member's process as an operator does, and starts one of another
