--- a/internal/fleetlab/rollout.go
+++ b/internal/fleetlab/rollout.go
@@ -2,22 +2,31 @@
 
 import (
 	"fmt"
+	"path/filepath"
 	"runtime"
 	"slices"
 	"sync"
 
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/plotutil"
+	"gonum.org/v1/plot/vg"
+
 	"quincerail.example/quincerail/fleet/rollout"
 	"quincerail.example/quincerail/fleet/rollout/trial"
 )
 
 // rolloutCmd plays rollouts of changes of each kind.
 type rolloutCmd struct {
-	Trials  int `default:"200" help:"Of each kind."`
-	Servers int `default:"100"`
+	Trials  int    `default:"200" help:"Of each kind."`
+	Servers int    `default:"100"`
+	Charts  string `default:"docs" help:"Folder for the chart."`
 }
 
 // Run implements the sub-command.
 func (c *rolloutCmd) Run() error {
+	ends := map[string][]int{}
+	var kinds []string
 	fmt.Println("| change | trials | done | halted | most servers reached | over 5% | windows (p50, p90) |\n| --- | --- | --- | --- | --- | --- | --- |")
 	for _, kind := range []struct {
 		name   string
@@ -62,8 +71,32 @@
 			windows = append(windows, o.Windows)
 		}
 		slices.Sort(windows)
+		kinds, ends[kind.name] = append(kinds, kind.name), windows
 		fmt.Printf("| %s | %d | %d | %d | %.2f | %d | %d, %d |\n", kind.name, c.Trials, done, halted, reached, over,
 			windows[len(windows)/2], windows[len(windows)*9/10])
 	}
-	return nil
+	return c.chart(kinds, ends)
+}
+
+// chart draws which share of the trials of each kind had ended by a window.
+func (c *rolloutCmd) chart(kinds []string, ends map[string][]int) error {
+	p := plot.New()
+	p.Title.Text = fmt.Sprintf("%d servers, %d trials of each kind", c.Servers, c.Trials)
+	p.X.Label.Text, p.Y.Label.Text = "windows since the start", "share of the trials that have ended"
+	p.X.Min, p.Y.Min, p.Y.Max = 0, 0, 1
+	for i, kind := range kinds {
+		var xy plotter.XYs
+		for n, at := range ends[kind] {
+			xy = append(xy, plotter.XY{X: float64(at), Y: float64(n) / float64(c.Trials)}, plotter.XY{X: float64(at), Y: float64(n+1) / float64(c.Trials)})
+		}
+		line, err := plotter.NewLine(xy)
+		if err != nil {
+			return fmt.Errorf("chart: %w", err)
+		}
+		line.Color, line.Dashes = plotutil.Color(i), plotutil.Dashes(i)
+		p.Add(line)
+		p.Legend.Add(kind, line)
+	}
+	p.Legend.Top, p.Legend.Left = true, true
+	return p.Save(18*vg.Centimeter, 9*vg.Centimeter, filepath.Join(c.Charts, "rollout.svg"))
 }
