--- a/cmd/quincerail/serve.go
+++ b/cmd/quincerail/serve.go
@@ -13,6 +13,7 @@
 	"quincerail.example/quincerail/logging"
 	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/program"
+	"quincerail.example/quincerail/program/operator"
 )
 
 // files are the operator's files beside the platform's configuration; empty
@@ -26,8 +27,8 @@
 }
 
 // operator gives the operator's file with the flags over it.
-func (f files) operator() (*program.Operator, error) {
-	o, err := program.LoadOperator(f.Operator)
+func (f files) operator() (*operator.File, error) {
+	o, err := operator.Load(f.Operator)
 	if err != nil {
 		return nil, err
 	}
@@ -96,7 +97,7 @@
 	return setLevel(level, o)
 }
 
-func setLevel(level *slog.LevelVar, o *program.Operator) error {
+func setLevel(level *slog.LevelVar, o *operator.File) error {
 	l, err := logging.ParseLevel(o.Log.Level)
 	if err == nil {
 		level.Set(l)
@@ -105,14 +106,14 @@
 }
 
 // load reads the configuration, and the operator's files where there are any.
-func load(o *program.Operator, logger *slog.Logger) (*program.Config, *program.UWSGIConfig, error) {
+func load(o *operator.File, logger *slog.Logger) (*program.Config, *program.UWSGIConfig, error) {
 	config, err := program.LoadConfig(os.Getenv("GW_CONFIG"))
 	if err != nil {
 		return nil, nil, err
 	}
 	config.KeysDir, config.KeysSync, config.MetricsListen, config.ChangesListen, config.Logger =
 		o.Keys.Dir, o.Keys.Sync, o.Metrics.Listen, o.Fleet.Changes, logger
-	if config.Fleet, err = o.FleetOf(config); err != nil {
+	if config.Fleet, err = o.FleetOf(config.Name, config.Ledger, logger); err != nil {
 		return nil, nil, err
 	}
 	if o.Rules != "" {
@@ -134,7 +135,7 @@
 }
 
 // apart refuses two listeners on one address, each of which is right alone.
-func apart(o *program.Operator, front *program.UWSGIConfig) error {
+func apart(o *operator.File, front *program.UWSGIConfig) error {
 	if front.Listen == o.Metrics.Listen && !strings.HasSuffix(front.Listen, ":0") {
 		return fmt.Errorf("metrics.listen: %s is the uwsgi front's address too", front.Listen)
 	}
--- a/cmd/quincerail/tools.go
+++ b/cmd/quincerail/tools.go
@@ -14,6 +14,7 @@
 	"quincerail.example/quincerail/describe"
 	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/program"
+	"quincerail.example/quincerail/program/operator"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/store"
 )
@@ -27,7 +28,7 @@
 func (c *checkCmd) Run() error {
 	var problems []string
 	o, err := c.operator()
-	if oe := (*program.OperatorError)(nil); errors.As(err, &oe) {
+	if oe := (*operator.Error)(nil); errors.As(err, &oe) {
 		for _, p := range oe.Problems {
 			problems = append(problems, fmt.Sprintf("%s: %s", oe.File, p))
 		}
@@ -39,7 +40,7 @@
 		problems = append(problems, err.Error())
 	}
 	if config != nil && o != nil {
-		if _, err := o.FleetOf(config); err != nil {
+		if _, err := o.FleetOf(config.Name, config.Ledger, config.Logger); err != nil {
 			problems = append(problems, err.Error())
 		}
 		problems = append(problems, checkFiles(o, config.Classes)...)
@@ -56,7 +57,7 @@
 
 // checkFiles gives the problems of the files that an operator's file names, and
 // prints their warnings.
-func checkFiles(o *program.Operator, classes []string) (problems []string) {
+func checkFiles(o *operator.File, classes []string) (problems []string) {
 	if o.UWSGI != "" {
 		front, err := program.LoadUWSGI(o.UWSGI, classes)
 		if err == nil {
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -141,7 +141,7 @@
 func TestRolloutWorse(t *testing.T) {
 	const tell = "tell = func() { p.core.Completed(n.ID, end, n.Took, routing.Payload{Body: n.Payload}) }"
 	r := versions(t, fleettest.Options{Word: "page"}, map[string]fleettest.Edit{"late": {
-		File: filepath.Join("..", "program", "processor.go"), Old: tell,
+		File: filepath.Join("..", "program", "backend", "processor.go"), Old: tell,
 		// Of the three in five that were in time two in fifteen are late now.
 		New: tell + "\nif time.Now().UnixMicro()%1000 < 134 {\ninTime := tell\ntell = func() { time.AfterFunc(60*time.Millisecond, inTime) }\n}",
 	}})
@@ -236,7 +236,7 @@
 func TestRolloutMixed(t *testing.T) {
 	const post = "post := ledger.AppendPost(nil, id, wait, body)"
 	r := versions(t, fleettest.Options{Class: "ny-gava", Took: 5 * time.Millisecond}, map[string]fleettest.Edit{"newform": {
-		File: filepath.Join("..", "program", "ledger.go"), Old: post,
+		File: filepath.Join("..", "program", "below", "pool.go"), Old: post,
 		New: fmt.Sprintf("post := ledger.AppendPost(nil, id, wait, append([]byte(%q), body...))", standin.NewForm)}})
 	r.begin(900, 1.5, "--id", "r3", "--from", "v1", "--to", "newform")
 	starter := r.Starter(nil)
--- /dev/null
+++ b/internal/coretest/coretest.go
@@ -0,0 +1,55 @@
+// Package coretest has what tests of the parties around the core share: a core
+// with the example's settings at work, and a sink that collects its answers.
+package coretest
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"runtime"
+	"testing"
+
+	"github.com/tidwall/gjson"
+
+	"quincerail.example/quincerail/internal/wire"
+	"quincerail.example/quincerail/routing"
+)
+
+// Answers collects what a core answers, each as the request's id and the kind.
+type Answers chan string
+
+// Answer implements routing.Sink.
+func (a Answers) Answer(id string, o routing.Outcome) { a <- fmt.Sprint(id, " ", o.Kind) }
+
+// New starts a core with the example's settings, until the test ends.
+func New(t *testing.T, opt routing.Options) *routing.Core {
+	t.Helper()
+	_, here, _, _ := runtime.Caller(0)
+	text, err := os.ReadFile(filepath.Join(filepath.Dir(here), "..", "..", "example", "config.json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var config struct {
+		Settings json.RawMessage `json:"settings"`
+	}
+	if err := json.Unmarshal(text, &config); err != nil {
+		t.Fatal(err)
+	}
+	if opt.Settings, err = wire.Settings(string(config.Settings)); err != nil {
+		t.Fatal(err)
+	}
+	opt.Settings.Fresh = 0
+	for _, lane := range gjson.GetBytes(config.Settings, "lanes").Array() {
+		opt.Classes = append(opt.Classes, lane.Get("name").String())
+	}
+	core, err := routing.New(opt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go core.Run(ctx)
+	t.Cleanup(cancel)
+	return core
+}
--- a/program/processor.go
+++ b/program/backend/processor.go
@@ -1,7 +1,10 @@
-package program
+// Package backend runs requests: on the processor, over a link that may break, and
+// at a uwsgi application server.
+package backend
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -34,14 +37,14 @@
 	resume // answer or without
 )
 
-// processorLink is the backend that the processor is. A link that breaks may
+// Processor is the backend that the processor is. A link that breaks may
 // have lost what was written last, so commands are kept until the answer to a
 // later question, or a notice of their run, proves that they were read. On a
 // new link what is not proven is sent again, once all missed notices are in.
 //
 // The link may move to another address. What the connection before still says
 // is passed over then: the processor says it again on the new one.
-type processorLink struct {
+type Processor struct {
 	core   *routing.Core
 	log    *slog.Logger
 	gauges []string
@@ -59,18 +62,29 @@
 	greeting *transport.Conn
 }
 
-func newProcessorLink(address string, gauges []string, log *slog.Logger) *processorLink {
-	p := &processorLink{log: log, gauges: gauges, usages: make(map[uint64]func(decision.Gauges)), trials: make(map[string]func(bool))}
+// NewProcessor makes one that links to an address, and is told the gauges of these
+// names, in order; Attach has to follow.
+func NewProcessor(address string, gauges []string, log *slog.Logger) *Processor {
+	p := &Processor{log: log, gauges: gauges, usages: make(map[uint64]func(decision.Gauges)), trials: make(map[string]func(bool))}
 	p.link = transport.NewLink(address, p.opened, p.closed)
 	return p
 }
 
+// Attach sets the core that is told what comes of runs; it goes before Run.
+func (p *Processor) Attach(core *routing.Core) { p.core = core }
+
+// Run keeps the link until ctx ends.
+func (p *Processor) Run(ctx context.Context) { p.link.Run(ctx) }
+
+// Move has the link go to another address.
+func (p *Processor) Move(address string) { p.link.Move(address) }
+
 // errReplaced ends a connection that a newer one has replaced.
 var errReplaced = errors.New("replaced by a newer link")
 
 // closed takes in that a connection has ended. One that was replaced before
 // leaves nothing behind.
-func (p *processorLink) closed(c *transport.Conn, err error) {
+func (p *Processor) closed(c *transport.Conn, err error) {
 	p.mu.Lock()
 	if p.present != c {
 		p.mu.Unlock()
@@ -86,7 +100,7 @@
 
 // lost takes in that the present connection is of no more use. The trials that
 // it gives have no result. The lock is held.
-func (p *processorLink) lost() (trials map[string]func(bool)) {
+func (p *Processor) lost() (trials map[string]func(bool)) {
 	p.present, p.conn, p.greeting, p.marker = nil, nil, nil, 0
 	for i := range p.pending { // an answer on the next link proves nothing of what was sent on this one
 		p.pending[i].sent = false
@@ -103,7 +117,7 @@
 	}
 }
 
-func (p *processorLink) opened(c *transport.Conn) func(*bufio.Reader) error {
+func (p *Processor) opened(c *transport.Conn) func(*bufio.Reader) error {
 	p.mu.Lock()
 	trials := p.lost() // where it moves, the connection before is still open
 	p.present, p.greeting = c, c
@@ -121,7 +135,7 @@
 
 // take passes a notice on. The core is told outside the lock: it may be waiting
 // for it.
-func (p *processorLink) take(c *transport.Conn, n processor.Notice) error {
+func (p *Processor) take(c *transport.Conn, n processor.Notice) error {
 	p.mu.Lock()
 	if p.present != c { // taken in now, its number would hide those that the new link has yet to bring
 		p.mu.Unlock()
@@ -187,19 +201,19 @@
 
 // proven drops the commands that the processor has read, or that a later notice
 // of their run makes void.
-func (p *processorLink) proven(read func(command) bool) {
+func (p *Processor) proven(read func(command) bool) {
 	p.pending = slices.DeleteFunc(p.pending, read)
 }
 
 // resend sends what may have been lost, and what came while there was no link.
-func (p *processorLink) resend() {
+func (p *Processor) resend() {
 	for i := range p.pending {
 		p.pending[i].sent, p.pending[i].after = true, p.asked
 		p.conn.Send(p.pending[i].text)
 	}
 }
 
-func (p *processorLink) reading(values []float64) decision.Gauges {
+func (p *Processor) reading(values []float64) decision.Gauges {
 	g := decision.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}
 	for i, name := range p.gauges {
 		if i >= len(values) {
@@ -219,7 +233,7 @@
 	return g
 }
 
-func (p *processorLink) command(kind commandKind, id string, text []byte) {
+func (p *Processor) command(kind commandKind, id string, text []byte) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	c := command{text: text, id: id, kind: kind, after: p.asked}
@@ -231,27 +245,27 @@
 }
 
 // Begin implements routing.Backend.
-func (p *processorLink) Begin(r routing.Run) {
+func (p *Processor) Begin(r routing.Run) {
 	p.command(begin, r.ID, processor.AppendBegin(nil, r.ID, r.Class, r.Payload.Body))
 }
 
 // Interrupt implements routing.Backend.
-func (p *processorLink) Interrupt(id string) {
+func (p *Processor) Interrupt(id string) {
 	p.command(interrupt, id, processor.AppendInterrupt(nil, id))
 }
 
 // Answer implements routing.Backend.
-func (p *processorLink) Answer(id string, reply []byte) {
+func (p *Processor) Answer(id string, reply []byte) {
 	p.command(resume, id, processor.AppendAnswer(nil, id, reply))
 }
 
 // Without implements routing.Backend.
-func (p *processorLink) Without(id string, notice uint64) {
+func (p *Processor) Without(id string, notice uint64) {
 	p.command(resume, id, processor.AppendWithout(nil, id, notice))
 }
 
 // Usage implements routing.Machine. Without a link there is no reply.
-func (p *processorLink) Usage(reply func(decision.Gauges)) {
+func (p *Processor) Usage(reply func(decision.Gauges)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn == nil {
@@ -263,7 +277,7 @@
 }
 
 // Trial implements routing.Machine.
-func (p *processorLink) Trial(reply func(good bool)) {
+func (p *Processor) Trial(reply func(good bool)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.conn == nil {
--- a/program/uwsgibackend.go
+++ b/program/backend/uwsgi.go
@@ -1,4 +1,4 @@
-package program
+package backend
 
 import (
 	"bufio"
@@ -12,9 +12,9 @@
 	"quincerail.example/quincerail/routing"
 )
 
-// uwsgiBackend runs requests at a uwsgi application server, a connection each.
+// UWSGI runs requests at a uwsgi application server, a connection each.
 // A run is sent once: after a break nobody knows whether it had its effect.
-type uwsgiBackend struct {
+type UWSGI struct {
 	core *routing.Core
 
 	mu      sync.Mutex
@@ -22,19 +22,20 @@
 	runs    map[string]context.CancelFunc
 }
 
-func newUWSGIBackend(core *routing.Core, address string) *uwsgiBackend {
-	return &uwsgiBackend{core: core, address: address, runs: make(map[string]context.CancelFunc)}
+// NewUWSGI makes one that runs requests at an address.
+func NewUWSGI(core *routing.Core, address string) *UWSGI {
+	return &UWSGI{core: core, address: address, runs: make(map[string]context.CancelFunc)}
 }
 
-// move has the runs to come go to another address.
-func (b *uwsgiBackend) move(address string) {
+// Move has the runs to come go to another address.
+func (b *UWSGI) Move(address string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.address = address
 }
 
 // Begin implements routing.Backend.
-func (b *uwsgiBackend) Begin(r routing.Run) {
+func (b *UWSGI) Begin(r routing.Run) {
 	ctx, cancel := context.WithDeadline(context.Background(), r.Due)
 	b.mu.Lock()
 	b.runs[r.ID] = cancel
@@ -55,7 +56,7 @@
 }
 
 // run does one attempt. A connection that was refused proves that nothing ran.
-func (b *uwsgiBackend) run(ctx context.Context, address string, r routing.Run) (routing.End, routing.Payload) {
+func (b *UWSGI) run(ctx context.Context, address string, r routing.Run) (routing.End, routing.Payload) {
 	var vars []uwsgi.Var
 	method := ""
 	for _, f := range r.Payload.Fields {
@@ -94,7 +95,7 @@
 }
 
 // Interrupt implements routing.Backend.
-func (b *uwsgiBackend) Interrupt(id string) {
+func (b *UWSGI) Interrupt(id string) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if cancel := b.runs[id]; cancel != nil {
@@ -103,7 +104,7 @@
 }
 
 // Answer implements routing.Backend: these runs make no calls.
-func (b *uwsgiBackend) Answer(string, []byte) {}
+func (b *UWSGI) Answer(string, []byte) {}
 
 // Without implements routing.Backend: these runs make no calls.
-func (b *uwsgiBackend) Without(string, uint64) {}
+func (b *UWSGI) Without(string, uint64) {}
--- a/program/budget.go
+++ b/program/below/budget.go
@@ -1,4 +1,4 @@
-package program
+package below
 
 import (
 	"math"
@@ -11,29 +11,29 @@
 	"quincerail.example/quincerail/routing"
 )
 
-// caller hears how calls ended; *routing.Core is one.
-type caller interface {
+// Caller hears how calls ended; *routing.Core is one.
+type Caller interface {
 	Called(id string, number int, end routing.CallEnd, reply []byte)
 }
 
-// callBudget is the member's part of what the whole fleet may have in hand at
+// Budget is the member's part of what the whole fleet may have in hand at
 // the shared dependency; *fleet.Budget is one.
-type callBudget interface {
+type Budget interface {
 	Take() (put func(), ok bool)
 	OnFreed(f func())
 }
 
-// budgetedCalls lets calls go below only within a budget: routing.Dependency
+// Budgeted lets calls go below only within a budget: routing.Dependency
 // over another. What has no room waits its turn; the core gives it up in its
 // time, as it does any call. The module decides which calls to make within what
-// it was last told of the budget (bound); this is what holds at every instant.
+// it was last told of the budget (Bound); this is what holds at every instant.
 //
 // A call that was given up, or whose connection broke, may linger below, and is
 // counted for as long.
-type budgetedCalls struct {
+type Budgeted struct {
 	next   routing.Dependency
-	core   caller
-	budget callBudget
+	core   Caller
+	budget Budget
 	linger func() time.Duration
 
 	mu      sync.Mutex
@@ -49,14 +49,19 @@
 	put    func() // of one that is out
 }
 
-func newBudgetedCalls(next routing.Dependency, core caller, budget callBudget, linger func() time.Duration) *budgetedCalls {
-	b := &budgetedCalls{next: next, core: core, budget: budget, linger: linger, out: map[string]budgetedCall{}}
+// NewBudgeted makes one whose calls that were given up count for linger() longer;
+// Attach has to follow.
+func NewBudgeted(next routing.Dependency, budget Budget, linger func() time.Duration) *Budgeted {
+	b := &Budgeted{next: next, budget: budget, linger: linger, out: map[string]budgetedCall{}}
 	budget.OnFreed(b.pump)
 	return b
 }
 
+// Attach sets who hears how calls end; it goes before the first.
+func (b *Budgeted) Attach(core Caller) { b.core = core }
+
 // Call implements routing.Dependency.
-func (b *budgetedCalls) Call(id string, number int, wait time.Duration, body []byte) {
+func (b *Budgeted) Call(id string, number int, wait time.Duration, body []byte) {
 	b.mu.Lock()
 	b.waiting = append(b.waiting, budgetedCall{id: id, number: number, until: time.Now().Add(wait), body: body})
 	b.mu.Unlock()
@@ -64,7 +69,7 @@
 }
 
 // pump lets those go that there is room for.
-func (b *budgetedCalls) pump() {
+func (b *Budgeted) pump() {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	for len(b.waiting) > 0 {
@@ -84,7 +89,7 @@
 }
 
 // Abandon implements routing.Dependency.
-func (b *budgetedCalls) Abandon(id string) {
+func (b *Budgeted) Abandon(id string) {
 	b.mu.Lock()
 	b.waiting = slices.DeleteFunc(b.waiting, func(k budgetedCall) bool { return k.id == id })
 	k, out := b.out[id]
@@ -96,8 +101,8 @@
 	}
 }
 
-// Called implements caller: it stands between the dependency and the core.
-func (b *budgetedCalls) Called(id string, number int, end routing.CallEnd, reply []byte) {
+// Called implements Caller: it stands between the dependency and the core.
+func (b *Budgeted) Called(id string, number int, end routing.CallEnd, reply []byte) {
 	b.mu.Lock()
 	k, out := b.out[id]
 	if out = out && k.number == number; out {
@@ -113,14 +118,14 @@
 	}
 }
 
-func (b *budgetedCalls) back(k budgetedCall) {
+func (b *Budgeted) back(k budgetedCall) {
 	k.put()
 	b.pump()
 }
 
-// bound has the module keep to this member's part of the fleet's budgets, as they
+// Bound has the module keep to this member's part of the fleet's budgets, as they
 // move, and tells the fleet what it would have in hand if only it might.
-func bound(core *routing.Core, member *fleet.Fleet) {
+func Bound(core *routing.Core, member *fleet.Fleet) {
 	calls := member.Budget(fleet.Calls)
 	b := decision.Bounds{Calls: math.Inf(1)}
 	if member.Budget(fleet.Repeats) != nil {
--- a/program/budget_test.go
+++ b/program/below/budget_test.go
@@ -1,4 +1,4 @@
-package program
+package below
 
 import (
 	"fmt"
@@ -24,7 +24,7 @@
 	r.left += n
 }
 
-// Take implements callBudget.
+// Take implements Budget.
 func (r *rights) Take() (func(), bool) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -35,7 +35,7 @@
 	return func() { r.add(1) }, true
 }
 
-// OnFreed implements callBudget.
+// OnFreed implements Budget.
 func (r *rights) OnFreed(f func()) { r.freed = f }
 
 // below is a dependency that notes what it is told, and a core that notes what
@@ -59,7 +59,7 @@
 // Abandon implements routing.Dependency.
 func (b *below) Abandon(id string) { b.tell("abandon " + id) }
 
-// Called implements caller.
+// Called implements Caller.
 func (b *below) Called(id string, number int, _ routing.CallEnd, _ []byte) {
 	b.tell(fmt.Sprint("called ", id, number))
 }
@@ -70,7 +70,8 @@
 func TestBudgetedCalls(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		d, r := &below{}, &rights{left: 2}
-		b := newBudgetedCalls(d, d, r, func() time.Duration { return 200 * time.Millisecond })
+		b := NewBudgeted(d, r, func() time.Duration { return 200 * time.Millisecond })
+		b.Attach(d)
 		check := func(want ...string) {
 			t.Helper()
 			d.mu.Lock()
--- a/program/ledger.go
+++ b/program/below/pool.go
@@ -1,4 +1,6 @@
-package program
+// Package below makes the calls that runs ask for: over connections to the shared
+// ledger, and within what the whole fleet may have in hand there.
+package below
 
 import (
 	"bufio"
@@ -19,11 +21,11 @@
 	ledgerDialIn = time.Second
 )
 
-// ledgerPool makes the calls. Each has a connection to itself while there are
+// Pool makes the calls. Each has a connection to itself while there are
 // not too many, because one that breaks or falls silent takes all calls on it
 // along, and nobody knows what became of them.
-type ledgerPool struct {
-	core    caller
+type Pool struct {
+	core    Caller
 	connect func(address string) (net.Conn, error)
 
 	mu      sync.Mutex
@@ -45,13 +47,17 @@
 	post   []byte
 }
 
-func newLedgerPool(address string) *ledgerPool {
-	return &ledgerPool{address: address, where: make(map[string]*ledgerConn),
+// NewPool makes one that calls a ledger at an address; Attach has to follow.
+func NewPool(address string) *Pool {
+	return &Pool{address: address, where: make(map[string]*ledgerConn),
 		connect: func(address string) (net.Conn, error) { return net.DialTimeout("tcp", address, ledgerDialIn) }}
 }
 
+// Attach sets who hears how calls end; it goes before the first.
+func (l *Pool) Attach(core Caller) { l.core = core }
+
 // Call implements routing.Dependency.
-func (l *ledgerPool) Call(id string, number int, wait time.Duration, body []byte) {
+func (l *Pool) Call(id string, number int, wait time.Duration, body []byte) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	post := ledger.AppendPost(nil, id, wait, body)
@@ -73,7 +79,7 @@
 // pick chooses a connection for a call, nil for a new one. It passes over the
 // one that the run called over before, so that a late or second reply can't be
 // taken for that to this call. The lock is held.
-func (l *ledgerPool) pick(id string) *ledgerConn {
+func (l *Pool) pick(id string) *ledgerConn {
 	l.conns = slices.DeleteFunc(l.conns, func(k *ledgerConn) bool {
 		stale := len(k.calls) == 0 && time.Since(k.conn.IdleSince()) > ledgerIdle
 		if stale { // the ledger may have forgotten it: a call would be lost
@@ -95,7 +101,7 @@
 
 // spend has a connection take no more calls, and end with its last one. The lock
 // is held.
-func (l *ledgerPool) spend(k *ledgerConn) {
+func (l *Pool) spend(k *ledgerConn) {
 	k.spent = true
 	l.conns = slices.DeleteFunc(l.conns, func(o *ledgerConn) bool { return o == k })
 	k.settle()
@@ -108,9 +114,9 @@
 	}
 }
 
-// move has calls go to another address. Those that are out are waited for where
+// Move has calls go to another address. Those that are out are waited for where
 // they were made.
-func (l *ledgerPool) move(address string) {
+func (l *Pool) Move(address string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if address == l.address {
@@ -124,7 +130,7 @@
 
 // Abandon implements routing.Dependency. A connection on which a call was given
 // up may have fallen silent for good, so it is spent.
-func (l *ledgerPool) Abandon(id string) {
+func (l *Pool) Abandon(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	k := l.where[id]
@@ -141,7 +147,7 @@
 
 // open dials a connection and works it until it ends. Calls that never left
 // for a refused connection never ran; of those on one that broke nothing is known.
-func (l *ledgerPool) open(k *ledgerConn) {
+func (l *Pool) open(k *ledgerConn) {
 	nc, err := l.dial()
 	if err != nil {
 		l.end(k, decision.ConnectFailed)
@@ -166,7 +172,7 @@
 }
 
 // dial opens a connection to the ledger, wherever it moves meanwhile.
-func (l *ledgerPool) dial() (net.Conn, error) {
+func (l *Pool) dial() (net.Conn, error) {
 	for {
 		l.mu.Lock()
 		address := l.address
@@ -181,7 +187,7 @@
 	}
 }
 
-func (l *ledgerPool) take(k *ledgerConn, reply ledger.Reply) {
+func (l *Pool) take(k *ledgerConn, reply ledger.Reply) {
 	l.mu.Lock()
 	call := k.calls[reply.ID]
 	if call != nil {
@@ -201,7 +207,7 @@
 	l.core.Called(reply.ID, call.number, end, reply.Body)
 }
 
-func (l *ledgerPool) end(k *ledgerConn, end routing.CallEnd) {
+func (l *Pool) end(k *ledgerConn, end routing.CallEnd) {
 	l.mu.Lock()
 	l.spend(k)
 	calls := k.calls
--- a/program/fronts_test.go
+++ b/program/fronts_test.go
@@ -9,6 +9,7 @@
 	"testing/synctest"
 	"time"
 
+	"quincerail.example/quincerail/internal/coretest"
 	"quincerail.example/quincerail/internal/standin"
 	"quincerail.example/quincerail/internal/steps"
 	"quincerail.example/quincerail/match"
@@ -39,7 +40,7 @@
 
 func newInstant(t *testing.T) *instant {
 	b := &instant{}
-	b.core = newCore(t, routing.Options{Backend: b})
+	b.core = coretest.New(t, routing.Options{Backend: b})
 	b.core.Started(false, 0)
 	return b
 }
--- a/program/operator.go
+++ b/program/operator/operator.go
@@ -1,9 +1,12 @@
-package program
+// Package operator reads the operator's file: what the program switches on beside
+// the platform's configuration.
+package operator
 
 import (
 	_ "embed"
 	"encoding/json"
 	"fmt"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"strings"
@@ -22,10 +25,10 @@
 //go:embed operator.cue
 var operatorSchema string
 
-// Operator is the operator's file, in TOML or CUE, checked against
+// File is the operator's file, in TOML or CUE, checked against
 // operator.cue: what the program switches on beside the platform's
 // configuration.
-type Operator struct {
+type File struct {
 	UWSGI string `json:"uwsgi"`
 	Rules string `json:"rules"`
 	Keys  struct {
@@ -66,35 +69,35 @@
 	} `json:"fleet"`
 }
 
-// FleetOf gives what a process with this configuration is to do in its fleet;
+// FleetOf gives what a process of a name, with a shared dependency at an address, is to do in its fleet;
 // nil where the operator's file leaves it off. The error names the key at fault.
-func (o *Operator) FleetOf(c *Config) (*fleet.Config, error) {
+func (o *File) FleetOf(name, ledger string, logger *slog.Logger) (*fleet.Config, error) {
 	x := &o.Fleet
 	if fleet.Role(x.Role) == fleet.Off {
 		return nil, nil
 	}
 	ms := func(n int) time.Duration { return time.Duration(n) * time.Millisecond }
-	f := &fleet.Config{Fleet: x.Name, Self: c.Name, Role: fleet.Role(x.Role), Raft: x.Raft, Gossip: x.Gossip, Dir: x.Dir,
+	f := &fleet.Config{Fleet: x.Name, Self: name, Role: fleet.Role(x.Role), Raft: x.Raft, Gossip: x.Gossip, Dir: x.Dir,
 		Voters: x.Voters, Seeds: x.Seeds, Election: ms(x.Election), Term: ms(x.Lease), Drift: x.Drift, ClockRate: x.ClockRate,
-		Probe: c.Ledger, ProbeEvery: ms(x.Probe), Slow: ms(x.Slow), Publish: x.Publish, Logger: c.Logger,
+		Probe: ledger, ProbeEvery: ms(x.Probe), Slow: ms(x.Slow), Publish: x.Publish, Logger: logger,
 		Budget: x.Budget, Repeats: x.Repeats, Horizon: ms(x.Horizon), Hold: ms(x.Hold), Window: ms(x.Window), Version: x.Version, Zone: x.Zone}
 	return f, f.Validate()
 }
 
-// OperatorError names every problem of an operator's file: a path and why, and
+// Error names every problem of an operator's file: a path and why, and
 // a place where the file is CUE.
-type OperatorError struct {
+type Error struct {
 	File     string
 	Problems []string
 }
 
-func (e *OperatorError) Error() string {
+func (e *Error) Error() string {
 	return fmt.Sprintf("%s: %s", e.File, strings.Join(e.Problems, "; "))
 }
 
-// LoadOperator reads an operator's file; "" gives the defaults. The error is an
-// *OperatorError where the file makes no sense.
-func LoadOperator(path string) (*Operator, error) {
+// Load reads an operator's file; "" gives the defaults. The error is an
+// *Error where the file makes no sense.
+func Load(path string) (*File, error) {
 	ctx := cuecontext.New()
 	schema := ctx.CompileString(operatorSchema, cue.Filename("operator.cue")).LookupPath(cue.ParsePath("#Operator"))
 	if schema.Err() != nil {
@@ -111,7 +114,7 @@
 		} else {
 			var m map[string]any
 			if _, err := toml.Decode(string(text), &m); err != nil {
-				return nil, &OperatorError{path, []string{err.Error()}}
+				return nil, &Error{path, []string{err.Error()}}
 			}
 			b, err := json.Marshal(m)
 			if err != nil {
@@ -122,9 +125,9 @@
 	}
 	v := schema.Unify(data)
 	if err := v.Validate(cue.Concrete(true)); err != nil {
-		return nil, &OperatorError{path, problems(err)}
+		return nil, &Error{path, problems(err)}
 	}
-	var o Operator
+	var o File
 	if err := v.Decode(&o); err != nil {
 		return nil, fmt.Errorf("operator: %w", err)
 	}
--- a/program/operator_test.go
+++ b/program/operator/operator_test.go
@@ -1,4 +1,4 @@
-package program
+package operator
 
 import (
 	"errors"
@@ -21,11 +21,11 @@
 // of range, fields that are not there, and combinations that are valid alone
 // but dangerous together, each refused with its path and reason.
 func TestOperator(t *testing.T) {
-	o, err := LoadOperator("")
+	o, err := Load("")
 	if err != nil || o.Log.Level != "info" || o.Keys.Sync != "always" || o.Log.Repeats != 10 {
 		t.Fatalf("defaults: %+v, %v", o, err)
 	}
-	if o, err := LoadOperator(filepath.Join("..", "deploy", "quincerail.toml")); err != nil || o.Metrics.Listen == "" {
+	if o, err := Load(filepath.Join("..", "..", "deploy", "quincerail.toml")); err != nil || o.Metrics.Listen == "" {
 		t.Errorf("the deploy folder's file: %+v, %v", o, err)
 	}
 	for _, c := range []struct{ name, text, want string }{
@@ -38,8 +38,8 @@
 		{"syntax.toml", "[log", `syntax.toml`},
 		{"place.cue", "log: {\n\tlevel: \"info\"\n\trepeats: 20000\n}\n", `log.repeats: invalid value 20000 (out of bound <=10000) (line 3)`},
 	} {
-		_, err := LoadOperator(writeOperator(t, c.name, c.text))
-		var oe *OperatorError
+		_, err := Load(writeOperator(t, c.name, c.text))
+		var oe *Error
 		if !errors.As(err, &oe) || !strings.Contains(err.Error(), c.want) {
 			t.Errorf("%s: got %v, want %q", c.name, err, c.want)
 		}
--- a/program/program.go
+++ b/program/program.go
@@ -17,6 +17,8 @@
 	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/fleet"
 	"quincerail.example/quincerail/match"
+	"quincerail.example/quincerail/program/backend"
+	"quincerail.example/quincerail/program/below"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/store"
 	"quincerail.example/quincerail/transport"
@@ -60,12 +62,12 @@
 type Server struct {
 	config      atomic.Pointer[Config] // in force
 	core        *routing.Core
-	link        *processorLink
-	pool        *ledgerPool
+	link        *backend.Processor
+	pool        *below.Pool
 	presence    *announcer
 	thrift      *thriftFront
 	uwsgi       *uwsgiFront // nil where it is off, like its backend
-	backend     *uwsgiBackend
+	backend     *backend.UWSGI
 	idle        *idleLimit
 	doors       []door            // the first is the platform's
 	control     *transport.Server // where operators call; may be nil
@@ -97,7 +99,7 @@
 	if logger == nil {
 		logger = slog.Default()
 	}
-	link, pool := newProcessorLink(c.Processor, c.Gauges, logger), newLedgerPool(c.Ledger)
+	link, pool := backend.NewProcessor(c.Processor, c.Gauges, logger), below.NewPool(c.Ledger)
 	presence, idle := newAnnouncer(c.Name, logger), &idleLimit{}
 	idle.CloseIdle(c.Settings.MaxIdle)
 	opt := routing.Options{Settings: c.Settings, Classes: c.Classes, Seed: c.Seed, Logger: logger,
@@ -142,21 +144,23 @@
 			member.Stop(0)
 		}
 	}()
-	var budgeted *budgetedCalls
+	var budgeted *below.Budgeted
 	if member != nil && member.Budget(fleet.Calls) != nil {
-		budgeted = newBudgetedCalls(pool, nil, member.Budget(fleet.Calls), func() time.Duration { return c.Settings.Linger })
+		budgeted = below.NewBudgeted(pool, member.Budget(fleet.Calls), func() time.Duration { return c.Settings.Linger })
 		opt.Dependency = budgeted
 	}
 	core, err := routing.New(opt)
 	if err != nil {
 		return nil, err
 	}
-	link.core, pool.core = core, core
+	link.Attach(core)
+	pool.Attach(core)
 	if budgeted != nil {
-		budgeted.core, pool.core = core, budgeted
+		budgeted.Attach(core)
+		pool.Attach(budgeted)
 	}
 	if member != nil {
-		bound(core, member)
+		below.Bound(core, member)
 	}
 	if watch != nil {
 		watch.core.Store(core)
@@ -181,7 +185,7 @@
 		s.control = transport.NewServer(l, controlConns, (&controlDoor{core, &s.serving}).serve, func() {})
 	}
 	if u != nil {
-		s.backend = newUWSGIBackend(core, u.Backend)
+		s.backend = backend.NewUWSGI(core, u.Backend)
 		s.uwsgi = newUWSGIFront(core, s.backend, u, rules)
 		if err := s.listen("uwsgi listen", u.Listen, 0, int(float64(c.Sockets)*uwsgiShare), s.uwsgi); err != nil {
 			s.doors[0].server.Close()
@@ -201,7 +205,7 @@
 	working, stop := context.WithCancel(context.Background())
 	s.stop = stop
 	go core.Run(working)
-	go link.link.Run(working)
+	go link.Run(working)
 	go s.sweep(working)
 	if c.ListenFD == 0 {
 		s.open(working, c)
@@ -351,8 +355,8 @@
 		return err
 	}
 	Limit(c)
-	s.link.link.Move(c.Processor)
-	s.pool.move(c.Ledger)
+	s.link.Move(c.Processor)
+	s.pool.Move(c.Ledger)
 	s.presence.move(c.Announce)
 	if c.Rules != nil && c.Rules != was.Rules {
 		s.log.Info("rules", "version", s.rules.Replace(c.Rules), "rules", c.Rules.Len())
@@ -360,7 +364,7 @@
 	stays := map[string]bool{"name": c.Name != was.Name, "listen": c.Listen != was.Listen, "control": c.Control != was.Control,
 		"limits.sockets": c.Sockets != was.Sockets, "settings.familyInfo.ownStats": !slices.Equal(c.Gauges, was.Gauges)}
 	if s.uwsgi != nil && u != nil {
-		s.backend.move(u.Backend)
+		s.backend.Move(u.Backend)
 		stays["uwsgi listen"] = s.uwsgi.reload(u)
 	}
 	for key, changed := range stays {
