Add and remove voters while the fleet works: learners first, addresses in the log

Need: the voters were fixed by their files; to replace a lost one, all had to be stopped and begin with empty logs, and tokens began anew. TestVoters, four real voters: one joins, the owner is killed and removed, another founder killed; the new one and the last founder go on, no stale act, and the removed one owns nothing when it is back.

--- a/cmd/quincerail/main.go
+++ b/cmd/quincerail/main.go
@@ -6,6 +6,7 @@
 //	quincerail check [--operator FILE] [--uwsgi FILE] [--rules FILE]
 //	quincerail describe FILE [--rules FILE]
 //	quincerail rollout status|start|halt --address HOST:PORT
+//	quincerail voters list|add|remove --address HOST:PORT
 //	quincerail keys DIR
 //	quincerail version
 //
@@ -28,6 +29,7 @@
 	Check    checkCmd    `cmd:"" help:"Check the configuration and the operator's files, and print every problem."`
 	Describe describeCmd `cmd:"" help:"Report what the operations of an OpenAPI or AsyncAPI description come to."`
 	Rollout  rolloutCmd  `cmd:"" help:"Ask a fleet's voter about rolling changes, start one, or halt it."`
+	Voters   votersCmd   `cmd:"" help:"List a fleet's voters, add one, or remove one."`
 	Keys     keysCmd     `cmd:"" help:"Report what a folder of keys holds, changing nothing."`
 	Version  versionCmd  `cmd:"" help:"Print the program's version."`
 }
--- a/cmd/quincerail/rollout.go
+++ b/cmd/quincerail/rollout.go
@@ -5,14 +5,12 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net/http"
 	"net/url"
 	"os"
 	"slices"
 	"strings"
 	"text/tabwriter"
-	"time"
 
 	"github.com/BurntSushi/toml"
 
@@ -28,41 +26,7 @@
 	Halt   rolloutHaltCmd   `cmd:"" help:"Halt the rollout under way: its servers go back."`
 }
 
-// voter is where a command asks.
-type voter struct {
-	Address string `required:"" help:"Where a voter is called about rollouts (changes in its operator's file)."`
-}
-
-// call asks the voter; answer takes what it says, nil for nothing.
-func (v voter) call(method string, query url.Values, body, answer any) error {
-	var in bytes.Buffer
-	if body != nil {
-		if err := json.NewEncoder(&in).Encode(body); err != nil {
-			return fmt.Errorf("rollout: %w", err)
-		}
-	}
-	u := url.URL{Scheme: "http", Host: v.Address, Path: "/changes", RawQuery: query.Encode()}
-	req, err := http.NewRequest(method, u.String(), &in)
-	if err != nil {
-		return fmt.Errorf("rollout: %w", err)
-	}
-	resp, err := (&http.Client{Timeout: 10 * time.Second}).Do(req)
-	if err != nil {
-		return fmt.Errorf("rollout: %w", err)
-	}
-	defer resp.Body.Close()
-	if resp.StatusCode/100 != 2 {
-		why, _ := io.ReadAll(io.LimitReader(resp.Body, 4096)) // without it the status says enough
-		return fmt.Errorf("rollout: %s: %s", resp.Status, bytes.TrimSpace(why))
-	}
-	if answer == nil {
-		return nil
-	}
-	if err := json.NewDecoder(resp.Body).Decode(answer); err != nil {
-		return fmt.Errorf("rollout: %w", err)
-	}
-	return nil
-}
+const changesPath = "/changes"
 
 type rolloutStatusCmd struct {
 	voter
@@ -72,7 +36,7 @@
 // Run implements the sub-command.
 func (c *rolloutStatusCmd) Run() error {
 	var s fleet.ChangeStatus
-	if err := c.call(http.MethodGet, nil, nil, &s); err != nil {
+	if err := c.call(http.MethodGet, changesPath, nil, nil, &s); err != nil {
 		return err
 	}
 	if c.JSON {
@@ -128,7 +92,7 @@
 	if err != nil {
 		return err
 	}
-	return c.call(http.MethodPost, nil, r, nil)
+	return c.call(http.MethodPost, changesPath, nil, r, nil)
 }
 
 func (c *rolloutStartCmd) request() (program.ChangeRequest, error) {
@@ -183,5 +147,5 @@
 
 // Run implements the sub-command.
 func (c *rolloutHaltCmd) Run() error {
-	return c.call(http.MethodDelete, url.Values{"id": {c.ID}, "reason": {c.Reason}}, nil, nil)
+	return c.call(http.MethodDelete, changesPath, url.Values{"id": {c.ID}, "reason": {c.Reason}}, nil, nil)
 }
--- a/cmd/quincerail/serve.go
+++ b/cmd/quincerail/serve.go
@@ -111,8 +111,8 @@
 	if err != nil {
 		return nil, nil, err
 	}
-	config.KeysDir, config.KeysSync, config.MetricsListen, config.ChangesListen, config.Logger =
-		o.Keys.Dir, o.Keys.Sync, o.Metrics.Listen, o.Fleet.Changes, logger
+	config.KeysDir, config.KeysSync, config.MetricsListen, config.OperatorsListen, config.Logger =
+		o.Keys.Dir, o.Keys.Sync, o.Metrics.Listen, o.Fleet.Operators, logger
 	if config.Fleet, err = o.FleetOf(config.Name, config.Ledger, logger); err != nil {
 		return nil, nil, err
 	}
--- a/fleet/config.go
+++ b/fleet/config.go
@@ -44,7 +44,8 @@
 	Raft   string            // address where a voter hears the others
 	Gossip string            // address, TCP and UDP, where a member hears the others
 	Dir    string            // of a voter's log
-	Voters map[string]string // name to Raft address of all voters
+	Voters map[string]string // name to Raft address of the founding voters, or of those there are where this one joins them
+	Join   bool              // this voter joins a group at work, once it is added there
 	Seeds  map[string]string // name to Gossip address of members to join by
 
 	Election time.Duration // without word from a leader, until a voter stands (one to two of it)
@@ -91,10 +92,10 @@
 	if c.Role != Voter {
 		return nil
 	}
-	if _, ok := c.Voters[c.Self]; !ok {
+	if _, ok := c.Voters[c.Self]; !ok && !c.Join {
 		return fmt.Errorf("fleet.voters: this process, %s, is a voter and not among them", c.Self)
 	}
-	if !slices.Contains([]int{1, 3, 5}, len(c.Voters)) {
+	if !slices.Contains([]int{1, 3, 5}, len(c.Voters)) && !c.Join {
 		return fmt.Errorf("fleet.voters: %d, 3 or 5 wanted (1 to try it)", len(c.Voters))
 	}
 	if err := c.timing().Validate(); err != nil {
--- a/fleet/consensus/log.go
+++ b/fleet/consensus/log.go
@@ -45,7 +45,8 @@
 	hard  *raftpb.HardState
 }
 
-// openLog recovers a voter's log, or begins one with the voters given.
+// openLog recovers a voter's log, or begins one with the voters given; without
+// any it begins empty, to be caught up by a group that it joins.
 func openLog(s *store.Store, rec *store.Recovered, voters []uint64) (*diskLog, error) {
 	if len(rec.Losses) > 0 {
 		return nil, fmt.Errorf("%w: %v", ErrDamaged, rec.Losses)
@@ -54,6 +55,9 @@
 	first := &raftpb.Snapshot{Metadata: &raftpb.SnapshotMetadata{Index: proto.Uint64(1), Term: proto.Uint64(1),
 		ConfState: &raftpb.ConfState{Voters: voters}}}
 	state, known := rec.Values[stateKey]
+	if !known && len(voters) == 0 {
+		return l, nil
+	}
 	if !known { // whose log it is, is kept ahead of all else
 		if err := l.put(snapshotKey, nil, first, nil); err != nil {
 			return nil, err
@@ -68,6 +72,9 @@
 		return nil, fmt.Errorf("consensus: state: %w", err)
 	}
 	snap, ok := rec.Values[snapshotKey]
+	if !ok && len(voters) == 0 && last == 0 { // it joined, and has heard of a term only
+		return l, l.mem.SetHardState(l.hard)
+	}
 	if !ok {
 		return nil, fmt.Errorf("%w: its snapshot", ErrDamaged)
 	}
--- a/fleet/consensus/node.go
+++ b/fleet/consensus/node.go
@@ -12,6 +12,7 @@
 	"hash/fnv"
 	"log/slog"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"go.etcd.io/raft/v3"
@@ -49,8 +50,15 @@
 
 // Options are what a node is made of. All but Logger are required.
 type Options struct {
-	Self     string
-	Voters   []string      // names of all, Self among them; the same at each
+	Self string
+	// Voters are the founders of the group, name to address, Self among them; the
+	// same at each. Who joins a group that is at work names those it consists of
+	// then, and begins with an empty log.
+	Voters map[string]string
+	Join   bool
+	// Changed is told of the group at the start and whenever it changes, by the
+	// node's goroutine or Start; it must not block. May be nil.
+	Changed  func(voters []Voter)
 	Election time.Duration // without word from a leader, until a voter stands; raft draws from one to two of it
 	Dir      string        // of the log
 	Machine  Machine
@@ -62,7 +70,8 @@
 type Node struct {
 	opt      Options
 	log      *slog.Logger
-	names    map[uint64]string
+	members  atomic.Pointer[members]
+	origin   []string // the founders of the log
 	conf     *raftpb.ConfState
 	store    *store.Store
 	disk     *diskLog
@@ -85,22 +94,29 @@
 // Start recovers a voter's log and begins to take part. The error wraps
 // ErrDamaged where the log lost records.
 func Start(opt Options) (*Node, error) {
-	n := &Node{opt: opt, log: opt.Logger, names: map[uint64]string{}, conf: &raftpb.ConfState{},
+	n := &Node{opt: opt, log: opt.Logger, conf: &raftpb.ConfState{},
 		messages: make(chan *raftpb.Message, waiting), calls: make(chan func(), 16), done: make(chan struct{})}
 	if n.log == nil {
 		n.log = slog.Default()
 	}
-	if !slices.Contains(opt.Voters, opt.Self) {
-		return nil, fmt.Errorf("consensus: %s is not among the voters %v", opt.Self, opt.Voters)
+	if _, ok := opt.Voters[opt.Self]; !ok && !opt.Join {
+		return nil, fmt.Errorf("consensus: %s is not among the voters %v", opt.Self, n.founders())
 	}
-	for _, name := range opt.Voters {
-		if other, ok := n.names[id(name)]; ok {
-			return nil, fmt.Errorf("consensus: voters %s and %s have the same number", name, other)
+	first := members{}
+	for name, address := range opt.Voters {
+		if other, ok := first[id(name)]; ok {
+			return nil, fmt.Errorf("consensus: voters %s and %s have the same number", name, other.Name)
 		}
-		n.names[id(name)] = name
+		first[id(name)] = Voter{Name: name, Address: address}
 		n.conf.Voters = append(n.conf.Voters, id(name))
 	}
 	slices.Sort(n.conf.Voters)
+	if opt.Join {
+		n.conf.Voters = nil
+	} else {
+		n.origin = n.founders()
+	}
+	n.publish(first)
 	s, rec, err := store.Open(store.Options{Dir: opt.Dir})
 	if err != nil {
 		return nil, fmt.Errorf("consensus: %w", err)
@@ -125,19 +141,22 @@
 	if err != nil {
 		return fmt.Errorf("consensus: snapshot: %w", err)
 	}
-	if !slices.Equal(snap.GetMetadata().GetConfState().GetVoters(), n.conf.Voters) {
-		return fmt.Errorf("consensus: the log in %s is that of other voters than %v", n.opt.Dir, n.opt.Voters)
-	}
 	n.applied = snap.GetMetadata().GetIndex()
 	n.snapped = n.applied
-	if len(snap.GetData()) > 0 {
-		if err := n.opt.Machine.Restore(snap.GetData()); err != nil {
-			return fmt.Errorf("consensus: %w", err)
-		}
+	if err := n.unpack(snap.GetData()); err != nil {
+		return err
+	}
+	founders := slices.Equal(n.origin, n.founders())
+	if len(snap.GetData()) == 0 { // no snapshot was made yet
+		founders = slices.Equal(snap.GetMetadata().GetConfState().GetVoters(), n.conf.Voters)
 	}
+	if !founders && !n.opt.Join {
+		return fmt.Errorf("consensus: the log in %s is that of other voters than %v", n.opt.Dir, n.founders())
+	}
+	n.conf = snap.GetMetadata().GetConfState()
 	n.raft, err = raft.NewRawNode(&raft.Config{ID: id(n.opt.Self), ElectionTick: ticksPerElection, HeartbeatTick: ticksPerHeartbeat,
 		Storage: n.disk.mem, Applied: n.applied, MaxSizePerMsg: mostMessage, MaxInflightMsgs: mostInflight,
-		CheckQuorum: true, PreVote: true, Logger: raftLog{n.log}})
+		CheckQuorum: true, PreVote: true, StepDownOnRemoval: true, Logger: raftLog{n.log}})
 	if err != nil {
 		return fmt.Errorf("consensus: %w", err)
 	}
@@ -148,7 +167,7 @@
 // makes no sense, and what there is no room for.
 func (n *Node) Receive(message []byte) {
 	m := &raftpb.Message{}
-	if err := proto.Unmarshal(message, m); err != nil || n.names[m.GetFrom()] == "" || raft.IsLocalMsg(m.GetType()) {
+	if err := proto.Unmarshal(message, m); err != nil || n.group()[m.GetFrom()].Name == "" || raft.IsLocalMsg(m.GetType()) {
 		n.log.Warn("fleet_message_refused", "bytes", len(message))
 		return
 	}
@@ -219,6 +238,7 @@
 		case <-ticker.C:
 			n.raft.Tick()
 			n.propose(n.opt.Machine.Tick(n.raft.BasicStatus().RaftState == raft.StateLeader))
+			n.promote()
 		case m := <-n.messages:
 			n.step(m)
 			for range len(n.messages) { // all that has come is taken in before the next write
@@ -260,35 +280,48 @@
 			if err != nil {
 				return fmt.Errorf("consensus: message: %w", err)
 			}
-			n.opt.Send(n.names[m.GetTo()], b)
+			n.opt.Send(n.group()[m.GetTo()].Name, b)
 			if m.GetType() == raftpb.MsgSnap { // whether it arrived, the next answer tells
 				n.raft.ReportSnapshot(m.GetTo(), raft.SnapshotFinish)
 			}
 		}
 		if !raft.IsEmptySnap(rd.Snapshot) {
-			if err := n.opt.Machine.Restore(rd.Snapshot.GetData()); err != nil {
-				return fmt.Errorf("consensus: %w", err)
+			if err := n.unpack(rd.Snapshot.GetData()); err != nil {
+				return err
 			}
+			n.conf = rd.Snapshot.GetMetadata().GetConfState()
 			n.applied = rd.Snapshot.GetMetadata().GetIndex()
 			n.snapped = n.applied
 		}
 		for _, e := range rd.CommittedEntries {
 			n.applied = e.GetIndex()
-			if e.GetType() == raftpb.EntryNormal && len(e.GetData()) > 0 {
+			if e.GetType() == raftpb.EntryConfChange {
+				if err := n.changed(e); err != nil {
+					return err
+				}
+			} else if e.GetType() == raftpb.EntryNormal && len(e.GetData()) > 0 {
 				n.opt.Machine.Apply(e.GetData(), e.GetTerm(), e.GetIndex())
 			}
 		}
 		n.raft.Advance(rd)
 		if n.applied >= n.snapped+snapEvery {
-			data, err := n.opt.Machine.Snapshot()
-			if err != nil {
-				return fmt.Errorf("consensus: %w", err)
-			}
-			if err := n.disk.snapshot(n.applied, n.conf, data); err != nil {
+			if err := n.snapshot(); err != nil {
 				return err
 			}
-			n.snapped = n.applied
 		}
 	}
 	return nil
 }
+
+// snapshot keeps what all that was applied came to.
+func (n *Node) snapshot() error {
+	data, err := n.pack()
+	if err != nil {
+		return err
+	}
+	if err := n.disk.snapshot(n.applied, n.conf, data); err != nil {
+		return err
+	}
+	n.snapped = n.applied
+	return nil
+}
--- a/fleet/consensus/node_test.go
+++ b/fleet/consensus/node_test.go
@@ -73,10 +73,20 @@
 	mu    sync.Mutex
 	nodes map[string]*Node
 	lists map[string]*list
+	joins map[string]bool
+	only  bool // a is alone
+}
+
+// founders are a, b and c.
+func (g *group) founders() map[string]string {
+	if g.only {
+		return map[string]string{"a": "at a"}
+	}
+	return map[string]string{"a": "at a", "b": "at b", "c": "at c"}
 }
 
 func newGroup(t *testing.T) *group {
-	g := &group{t: t, dir: t.TempDir(), names: []string{"a", "b", "c"}, nodes: map[string]*Node{}, lists: map[string]*list{}}
+	g := &group{t: t, dir: t.TempDir(), names: []string{"a", "b", "c"}, nodes: map[string]*Node{}, lists: map[string]*list{}, joins: map[string]bool{}}
 	for _, name := range g.names {
 		g.start(name)
 	}
@@ -86,7 +96,7 @@
 func (g *group) start(name string) {
 	g.t.Helper()
 	l := &list{}
-	n, err := Start(Options{Self: name, Voters: g.names, Election: time.Second, Dir: filepath.Join(g.dir, name), Machine: l,
+	n, err := Start(Options{Self: name, Voters: g.founders(), Join: g.joins[name], Election: time.Second, Dir: filepath.Join(g.dir, name), Machine: l,
 		Send: func(to string, b []byte) {
 			g.mu.Lock()
 			peer := g.nodes[to]
@@ -235,11 +245,11 @@
 			g.add(fmt.Sprint("item ", i), g.names...)
 		}
 		g.stop("c")
-		options := Options{Self: "c", Voters: []string{"b", "c", "d"}, Election: time.Second, Dir: filepath.Join(g.dir, "c"), Machine: &list{}}
+		options := Options{Self: "c", Voters: map[string]string{"b": "", "c": "", "d": ""}, Election: time.Second, Dir: filepath.Join(g.dir, "c"), Machine: &list{}}
 		if n, err := Start(options); err == nil {
 			t.Error("started on the log of other voters", n.Stop())
 		}
-		options.Voters = g.names
+		options.Voters = g.founders()
 		segments, err := filepath.Glob(filepath.Join(options.Dir, "*.log"))
 		if err != nil || len(segments) == 0 {
 			t.Fatal(segments, err)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -1,12 +1,12 @@
 package fleet
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"log/slog"
 	"maps"
 	"net/http"
-	"slices"
 	"time"
 
 	"quincerail.example/quincerail/fleet/consensus"
@@ -148,7 +148,7 @@
 		return err
 	}
 	defer close(ready)
-	f.node, err = consensus.Start(consensus.Options{Self: f.conf.Self, Voters: slices.Sorted(maps.Keys(f.conf.Voters)),
+	f.node, err = consensus.Start(consensus.Options{Self: f.conf.Self, Voters: f.conf.Voters, Join: f.conf.Join, Changed: f.reach,
 		Election: f.conf.Election, Dir: f.conf.Dir, Machine: f.machine, Send: f.mesh.Send, Logger: f.log})
 	if err != nil {
 		go f.mesh.Close()
@@ -157,6 +157,16 @@
 	return nil
 }
 
+// reach has the voters be reached that the log has, by the addresses of this
+// process's own file where that names them.
+func (f *Fleet) reach(voters []consensus.Voter) {
+	peers := map[string]string{}
+	for _, v := range voters {
+		peers[v.Name] = cmp.Or(f.conf.Voters[v.Name], v.Address)
+	}
+	f.mesh.Reach(peers)
+}
+
 // The kinds of news, as a piece's first byte.
 const (
 	newsJudgement = 'j'
--- a/fleet/link/link.go
+++ b/fleet/link/link.go
@@ -65,7 +65,7 @@
 	Fleet   string
 	Self    string
 	Listen  string
-	Peers   map[string]string // name to address, of all others
+	Peers   map[string]string // name to address, of all others; Reach changes them
 	Receive func(message []byte)
 	Logger  *slog.Logger // nil for slog.Default()
 }
@@ -75,15 +75,22 @@
 	opt      Options
 	log      *slog.Logger
 	listener net.Listener
-	queues   map[string]chan []byte
 	stop     chan struct{}
 	wg       sync.WaitGroup
 	mu       sync.Mutex
+	peers    map[string]peer
 	conns    map[net.Conn]bool
 	sent     atomic.Int64
 	bytes    atomic.Int64
 }
 
+// peer is where another voter is reached.
+type peer struct {
+	address string
+	queue   chan []byte
+	stop    chan struct{} // closed when it is a peer no more
+}
+
 // Listen opens a mesh's own address, and begins to receive. Receive may be
 // called from several goroutines at once.
 func Listen(opt Options) (*Mesh, error) {
@@ -91,20 +98,42 @@
 	if err != nil {
 		return nil, fmt.Errorf("link: %w", err)
 	}
-	m := &Mesh{opt: opt, log: opt.Logger, listener: l, queues: map[string]chan []byte{},
+	m := &Mesh{opt: opt, log: opt.Logger, listener: l, peers: map[string]peer{},
 		stop: make(chan struct{}), conns: map[net.Conn]bool{}}
 	if m.log == nil {
 		m.log = slog.Default()
 	}
-	for name, address := range opt.Peers {
-		q := make(chan []byte, queued)
-		m.queues[name] = q
-		m.wg.Go(func() { m.speak(name, address, q) })
-	}
+	m.Reach(opt.Peers)
 	m.wg.Go(m.accept)
 	return m, nil
 }
 
+// Reach has the peers be those, by name and address: others are neither spoken to
+// nor heard any more, once their connections end.
+func (m *Mesh) Reach(peers map[string]string) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	select {
+	case <-m.stop:
+		return
+	default:
+	}
+	for name, p := range m.peers {
+		if peers[name] != p.address {
+			close(p.stop)
+			delete(m.peers, name)
+		}
+	}
+	for name, address := range peers {
+		if _, known := m.peers[name]; known || name == m.opt.Self {
+			continue
+		}
+		p := peer{address, make(chan []byte, queued), make(chan struct{})}
+		m.peers[name] = p
+		m.wg.Go(func() { m.speak(name, p) })
+	}
+}
+
 // Addr is where the mesh listens.
 func (m *Mesh) Addr() net.Addr { return m.listener.Addr() }
 
@@ -113,8 +142,11 @@
 
 // Send queues a message to a peer, and never blocks.
 func (m *Mesh) Send(to string, message []byte) {
+	m.mu.Lock()
+	queue := m.peers[to].queue // nil, and never ready, for a name that is no peer's
+	m.mu.Unlock()
 	select {
-	case m.queues[to] <- message: // nil, and never ready, for a name that is no peer's
+	case queue <- message:
 	default:
 	}
 }
@@ -140,7 +172,7 @@
 		return false
 	default:
 	}
-	if len(m.conns) >= mostInbound+len(m.queues) {
+	if len(m.conns) >= mostInbound+len(m.peers) {
 		return false
 	}
 	m.conns[c] = true
@@ -176,6 +208,13 @@
 	}
 }
 
+func (m *Mesh) knows(name string) bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	_, ok := m.peers[name]
+	return ok
+}
+
 func (m *Mesh) hear(c net.Conn) {
 	c.SetReadDeadline(time.Now().Add(helloWithin))
 	r := bufio.NewReader(c)
@@ -184,7 +223,7 @@
 		return
 	}
 	var h Hello
-	if err := json.Unmarshal(first, &h); err != nil || h.Fleet != m.opt.Fleet || h.To != m.opt.Self || m.queues[h.From] == nil {
+	if err := json.Unmarshal(first, &h); err != nil || h.Fleet != m.opt.Fleet || h.To != m.opt.Self || !m.knows(h.From) {
 		m.log.Warn("fleet_hello_refused", "fleet", h.Fleet, "from", h.From, "to", h.To)
 		return
 	}
@@ -201,7 +240,7 @@
 // speak sends a peer what is queued for it. A connection that the peer ended
 // is noticed at once: voters that don't lead say nothing to each other between
 // elections, and a vote asked for on a connection that is long dead is lost.
-func (m *Mesh) speak(name, address string, q chan []byte) {
+func (m *Mesh) speak(name string, p peer) {
 	hello, err := json.Marshal(Hello{m.opt.Fleet, m.opt.Self, name})
 	if err != nil {
 		panic(err) // three strings
@@ -221,13 +260,15 @@
 		select {
 		case <-m.stop:
 			return
+		case <-p.stop:
+			return
 		case <-ended:
 			hangUp()
 			continue
-		case b = <-q:
+		case b = <-p.queue:
 		}
 		if c == nil {
-			c, err = net.DialTimeout("tcp", address, dialWithin)
+			c, err = net.DialTimeout("tcp", p.address, dialWithin)
 			if err != nil {
 				c = nil
 				select { // the message is lost, and what comes meanwhile waits
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -45,7 +45,7 @@
 	for i, name := range []string{"v1", "v2", "v3", "m1", "m2", "m3"} {
 		o.Own[name] = map[string]any{"zone": fmt.Sprint("hall", i%3+1)}
 		if i < 3 {
-			o.Own[name]["changes"] = "127.0.0.1:0"
+			o.Own[name]["operators"] = "127.0.0.1:0"
 		}
 	}
 	o.Adjust = func(config map[string]any) {
@@ -66,14 +66,15 @@
 	return startFleet(t, o)
 }
 
-// operator runs the program's rollout command against a voter.
+// operator runs one of the program's commands against a voter.
 func (r run) operator(voter, command string, args ...string) (string, error) {
 	r.t.Helper()
 	address, err := r.Operators(voter)
 	if err != nil {
 		r.t.Fatal(err)
 	}
-	out, err := exec.Command(binary, append([]string{"rollout", command, "--address", address}, args...)...).CombinedOutput()
+	all := append(strings.Fields(command), "--address", address)
+	out, err := exec.Command(binary, append(all, args...)...).CombinedOutput()
 	return string(out), err
 }
 
@@ -89,7 +90,7 @@
 			r.t.Fatalf("v1 knows of %d servers: %v", len(s.Servers), err)
 		}
 	}
-	if out, err := r.operator("v1", "start", append([]string{"--plan", file}, args...)...); err != nil {
+	if out, err := r.operator("v1", "rollout start", append([]string{"--plan", file}, args...)...); err != nil {
 		r.t.Fatalf("%v: %s", err, out)
 	}
 }
@@ -166,7 +167,7 @@
 		t.Errorf("%d servers run it", r.Running("late"))
 	}
 	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(window) {
-		if out, err := r.operator("v2", "status"); err == nil && strings.Contains(out, "waits for:") {
+		if out, err := r.operator("v2", "rollout status"); err == nil && strings.Contains(out, "waits for:") {
 			break
 		} else if time.Now().After(deadline) {
 			t.Fatalf("no server is named: %v\n%s", err, out)
@@ -226,7 +227,7 @@
 		t.Errorf("%v, at most %v", err, most)
 	}
 	r.wantCourse("replacing 0", "baking 0", "replacing 1", "baking 1", "replacing 2", "baking 2", "done 2")
-	if out, err := r.operator("v3", "start", "--id", "r2", "--from", "v1", "--to", "v2"); err == nil || !strings.Contains(out, "was there before") {
+	if out, err := r.operator("v3", "rollout start", "--id", "r2", "--from", "v1", "--to", "v2"); err == nil || !strings.Contains(out, "was there before") {
 		t.Errorf("the same plan once more: %v, %s", err, out)
 	}
 }
--- a/fleet/share/emulate/emulate.go
+++ b/fleet/share/emulate/emulate.go
@@ -34,7 +34,7 @@
 }
 
 // mostRepeats is how many items a message repeats at most.
-const mostRepeats = 64
+const mostRepeats = 32
 
 // lateRounds is how late a late message is at most.
 const lateRounds = 20
@@ -201,8 +201,8 @@
 	*q = queued{i, f.size(i), times}
 }
 
-// mostSizes is how many sizes are remembered.
-const mostSizes = 1 << 20
+// mostSizes is how many sizes are remembered: they keep what they are of alive.
+const mostSizes = 1 << 15
 
 // size is an item's length on the wire.
 func (f *Fleet) size(i share.Item) int {
--- /dev/null
+++ b/fleet/voters_test.go
@@ -0,0 +1,106 @@
+package fleet_test
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"quincerail.example/quincerail/fleet/lease"
+	"quincerail.example/quincerail/internal/fleettest"
+	"quincerail.example/quincerail/internal/standin"
+)
+
+// voters waits until a voter's list of the group satisfies is.
+func (r run) voters(at, what string, is func(list string) bool) {
+	r.t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		out, err := r.operator(at, "voters list")
+		if err == nil && is(out) {
+			return
+		} else if time.Now().After(deadline) {
+			r.t.Fatalf("%s: %v\n%s", what, err, out)
+		}
+	}
+}
+
+// TestVoters has the group of voters change while the fleet's work goes on: one
+// joins, the owner is killed and removed, a second founder is killed, and the one
+// that joined makes a majority with the last founder. The one that was removed
+// comes back on its old log, and owns nothing any more.
+func TestVoters(t *testing.T) {
+	own := map[string]map[string]any{}
+	for _, name := range []string{"v1", "v2", "v3", "v4"} {
+		own[name] = map[string]any{"operators": "127.0.0.1:0"}
+	}
+	r := startFleet(t, fleettest.Options{Voters: 3, Joining: 1, Members: 1, Own: own,
+		Settings: map[string]any{"election_ms": 300, "lease_ms": 300, "probe_ms": 20}})
+	first := r.after(lease.Token{})
+	if out, err := r.operator("v1", "voters add", "--name", "v4", "--raft", r.Children["v4"].Raft); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	votes := func(list string) bool {
+		return strings.Contains(list, "v4") && !strings.Contains(list, "no vote")
+	}
+	for _, name := range []string{"v1", "v2", "v3", "v4"} {
+		r.voters(name, name+" has v4 as a voter", votes)
+	}
+
+	gone := first.By
+	var stay []string
+	for _, name := range []string{"v1", "v2", "v3"} {
+		if name != gone {
+			stay = append(stay, name)
+		}
+	}
+	if err := r.Kill(gone); err != nil {
+		t.Fatal(err)
+	}
+	old := r.act("another owner", func(a standin.Act) bool { return a.Accepted && a.By != gone && a.Token.Compare(first.Token) > 0 })
+	if out, err := r.operator(stay[0], "voters remove", "--name", gone); err != nil {
+		t.Fatalf("%v: %s", err, out)
+	}
+	r.voters("v4", "v4 has "+gone+" no more", func(list string) bool { return !strings.Contains(list, gone) })
+	dead := stay[0]
+	if err := r.Kill(dead); err != nil {
+		t.Fatal(err)
+	}
+	acts, _ := r.Registry.Acts()
+	next, err := r.AwaitAct("acts of two of three", len(acts), func(a standin.Act) bool { return a.Accepted && a.By != dead })
+	if err != nil {
+		t.Fatal(err)
+	}
+	if next.Token.Compare(old.Token) < 0 || next.By == gone {
+		t.Errorf("%s acts under %v after %v", next.By, next.Token, old.Token)
+	}
+	// Most of those that would stay are not alive: a removal that would end the
+	// group is refused.
+	r.voters("v4", dead+" is found dead", func(list string) bool {
+		for _, line := range strings.Split(list, "\n") {
+			if strings.HasPrefix(line, dead+" ") {
+				return strings.Contains(line, "false")
+			}
+		}
+		return false
+	})
+	if out, err := r.operator("v4", "voters remove", "--name", stay[1]); err == nil || !strings.Contains(out, "no majority") {
+		t.Errorf("removed: %v, %s", err, out)
+	}
+
+	from := len(r.Lines())
+	if err := r.Launch(gone); err != nil {
+		t.Fatal(err)
+	}
+	acts, _ = r.Registry.Acts()
+	for range 30 {
+		n := len(acts)
+		if _, err := r.AwaitAct("more acts", n, func(a standin.Act) bool { return a.Accepted && a.By != gone }); err != nil {
+			t.Fatal(err)
+		}
+		acts, _ = r.Registry.Acts()
+	}
+	for _, l := range r.Lines()[from:] {
+		if l.Event == "lease" && l.Fields["to"] == gone && l.Child != gone {
+			t.Errorf("%s was removed and owns: %s", gone, l.Text)
+		}
+	}
+}
--- a/internal/fleetlab/share.go
+++ b/internal/fleetlab/share.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"time"
 
@@ -17,10 +18,11 @@
 
 // shareCmd plays partitions on the emulator, and writes a table and charts.
 type shareCmd struct {
-	Members []int  `default:"300,3000" help:"Sizes of fleets."`
-	Seed    uint64 `default:"1"`
-	Beside  int    `default:"2" help:"Plays at a time: one of 3,000 members takes some GiB."`
-	Charts  string `default:"docs" help:"Folder for the charts."`
+	Members []int    `default:"300,3000" help:"Sizes of fleets."`
+	Seed    uint64   `default:"1"`
+	Only    []string `help:"Names of partitions; all without it."`
+	Beside  int      `default:"2" help:"Plays at a time: one of 3,000 members takes some GiB."`
+	Charts  string   `default:"docs" help:"Folder for the charts."`
 }
 
 // The course of a play, in rounds of 200 ms.
@@ -75,6 +77,9 @@
 	var jobs []*job
 	for _, n := range c.Members {
 		for _, p := range partitions {
+			if len(c.Only) > 0 && !slices.Contains(c.Only, p.name) {
+				continue
+			}
 			jobs = append(jobs, &job{members: n, p: p})
 		}
 	}
@@ -124,7 +129,9 @@
 			used, want := f.Served()
 			x := float64(round) * roundTime.Seconds()
 			out.used, out.want = append(out.used, plotter.XY{X: x, Y: float64(used)}), append(out.want, plotter.XY{X: x, Y: float64(want)})
-			round++
+			if round++; round%100 == 0 {
+				fmt.Fprintf(os.Stderr, "%d members, %s: round %d\n", members, p.name, round)
+			}
 			if i >= from {
 				served += float64(used) / float64(want)
 				n++
--- a/internal/fleettest/fleettest.go
+++ b/internal/fleettest/fleettest.go
@@ -15,6 +15,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -105,6 +106,7 @@
 	Example     string // path of example/config.json
 	Seed        uint64
 	Voters      int // named v1, v2, ...
+	Joining     int // voters that wait to be added, named after the others
 	Members     int // that hear only, named m1, m2, ...
 	// Settings are lines of the operator's file in its part [fleet], for all.
 	Settings map[string]any
@@ -135,6 +137,7 @@
 // Child is one process, or the place of one that has ended.
 type Child struct {
 	Name   string
+	Raft   string // of a voter that is to be added: where the others reach it
 	cmd    *exec.Cmd
 	exited chan struct{}
 	args   []string
@@ -188,6 +191,9 @@
 		voters = append(voters, fmt.Sprint("v", i+1))
 	}
 	all = append(all, voters...)
+	for i := range opt.Joining {
+		all = append(all, fmt.Sprint("v", opt.Voters+i+1))
+	}
 	for i := range opt.Members {
 		all = append(all, fmt.Sprint("m", i+1))
 	}
@@ -288,6 +294,13 @@
 		if fleet["voters"], err = via("raft", true, voters); err != nil {
 			return err
 		}
+		if !slices.Contains(voters, name) {
+			p, err := f.Net.Open("voters", name, "raft", true) // the log has one address for all
+			if err != nil {
+				return err
+			}
+			fleet["join"], c.Raft = true, p.Addr()
+		}
 	}
 	maps.Copy(fleet, f.opt.Settings)
 	maps.Copy(fleet, f.opt.Own[name])
--- a/internal/fleettest/starter.go
+++ b/internal/fleettest/starter.go
@@ -38,7 +38,7 @@
 // Operators gives where operators call a voter about the fleet's changes.
 func (f *Fleet) Operators(name string) (string, error) {
 	for _, l := range slices.Backward(f.Lines()) {
-		if l.Child == name && l.Event == "changes" {
+		if l.Child == name && l.Event == "operators" {
 			return l.Fields["address"], nil
 		}
 	}
--- a/program/changes.go
+++ b/program/changes.go
@@ -122,8 +122,8 @@
 		return nil, fmt.Errorf("%s: it is missing", key)
 	}
 	n.Control, n.ListenFD = c.Control, c.ListenFD
-	n.Rules, n.KeysDir, n.KeysSync, n.Logger, n.MetricsListen, n.ChangesListen, n.Fleet =
-		c.Rules, c.KeysDir, c.KeysSync, c.Logger, c.MetricsListen, c.ChangesListen, c.Fleet
+	n.Rules, n.KeysDir, n.KeysSync, n.Logger, n.MetricsListen, n.OperatorsListen, n.Fleet =
+		c.Rules, c.KeysDir, c.KeysSync, c.Logger, c.MetricsListen, c.OperatorsListen, c.Fleet
 	return n, nil
 }
 
@@ -164,15 +164,14 @@
 
 // ServeHTTP implements http.Handler.
 func (d changesDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := context.WithTimeout(r.Context(), askWithin)
+	ctx, cancel := askContext(r)
 	defer cancel()
 	var err error
 	switch r.Method {
 	case http.MethodGet:
 		var s fleet.ChangeStatus
 		if s, err = d.fleet.Change(); err == nil {
-			w.Header().Set("Content-Type", "application/json")
-			json.NewEncoder(w).Encode(s) // to one who has left, if it fails
+			answerJSON(w, s)
 			return
 		}
 	case http.MethodPost:
@@ -187,10 +186,29 @@
 	case http.MethodDelete:
 		err = d.fleet.StopChange(ctx, r.URL.Query().Get("id"), r.URL.Query().Get("reason"))
 	default:
-		w.Header().Set("Allow", "GET, POST, DELETE")
-		http.Error(w, r.Method, http.StatusMethodNotAllowed)
+		refuseMethod(w, r)
 		return
 	}
+	answer(w, err)
+}
+
+// askContext bounds what an operator's call waits for.
+func askContext(r *http.Request) (context.Context, context.CancelFunc) {
+	return context.WithTimeout(r.Context(), askWithin)
+}
+
+func answerJSON(w http.ResponseWriter, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	json.NewEncoder(w).Encode(v) // to one who has left, if it fails
+}
+
+func refuseMethod(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set("Allow", "GET, POST, DELETE")
+	http.Error(w, r.Method, http.StatusMethodNotAllowed)
+}
+
+// answer tells what came of an operator's order.
+func answer(w http.ResponseWriter, err error) {
 	switch {
 	case err == nil:
 		w.WriteHeader(http.StatusNoContent)
--- a/program/config.go
+++ b/program/config.go
@@ -38,7 +38,7 @@
 	KeysSync                    string        // always or never, as store.Sync; "" for always
 	Logger                      *slog.Logger  // nil for slog.Default()
 	MetricsListen               string        // the operator's listener for /metrics; "" for none
-	ChangesListen               string        // where operators call about rollouts; "" for none
+	OperatorsListen             string        // where operators call about the fleet; "" for none
 	Fleet                       *fleet.Config // what this process does in its fleet; nil for nothing
 	text                        string
 }
--- a/program/operator/operator.cue
+++ b/program/operator/operator.cue
@@ -65,8 +65,11 @@
 		// What this build of the program is called, and where this process is.
 		version: *"" | =~"^[0-9A-Za-z._+-]{1,64}$"
 		zone:    *"" | string
-		// Where operators call a voter about rollouts; "" for nowhere.
-		changes: *"" | #address
+		// Where operators call a voter about rollouts and voters; "" for nowhere.
+		operators: *"" | #address
+		// This voter joins a group that is at work, once an operator adds it there;
+		// voters are those there are then.
+		join: *false | bool
 		// For drills: this member's lease clock runs at such a rate.
 		clock_rate: *1.0 | (number & >=0.5 & <=2)
 	}
@@ -93,8 +96,11 @@
 	if fleet.window_ms > 0 && fleet.version == "" {
 		fleet: version: error("rollouts compare versions: a name for this one wanted")
 	}
-	if fleet.changes != "" && fleet.window_ms == 0 {
-		fleet: changes: error("there are no rollouts to call about without window_ms")
+	if fleet.operators != "" && fleet.role != "voter" {
+		fleet: operators: error("operators call a voter")
+	}
+	if fleet.join && fleet.role != "voter" {
+		fleet: join: error("only a voter joins the voters")
 	}
 	if fleet.lease_ms*2 < fleet.election_ms {
 		fleet: lease_ms: error("shorter than half of election_ms, the lease would run out at each change of leaders")
--- a/program/program.go
+++ b/program/program.go
@@ -229,10 +229,11 @@
 		}
 		s.operators, s.metricsAddr = append(s.operators, hs), addr
 	}
-	if c.ChangesListen != "" && s.fleet != nil {
+	if c.OperatorsListen != "" && s.fleet != nil {
 		mux := http.NewServeMux()
 		mux.Handle("/changes", changesDoor{s.fleet})
-		hs, _, err := serveHTTP("changes", c.ChangesListen, mux, s.log)
+		mux.Handle("/voters", votersDoor{s.fleet})
+		hs, _, err := serveHTTP("operators", c.OperatorsListen, mux, s.log)
 		if err != nil {
 			return err
 		}
