--- a/fleet/rollout/trial/trial.go
+++ b/fleet/rollout/trial/trial.go
@@ -74,7 +74,9 @@
 		}
 		s, _ = c.Plan.Step(s, out.Windows, samples)
 		s = reload(s)
-		for name, version := range c.Plan.Desired(s) { // the starter does some in each window
+		desired := c.Plan.Desired(s)
+		for _, server := range c.Plan.Servers { // the starter does some in each window
+			name, version := server.Name, desired[server.Name]
 			if runs[name] != version && rng.Float64() < 0.5 && !(name == c.Stuck && version == c.Plan.From) {
 				runs[name] = version
 			}
--- a/fleet/share/member.go
+++ b/fleet/share/member.go
@@ -305,12 +305,15 @@
 	} else if a := m.state.Accounts[i.Of]; a != nil && a.Fenced && news.Account != nil {
 		m.close(i.Of, a)
 	}
-	if news.Row != nil && i.Row.Beat > 0 && (was == nil || was.Beat < i.Row.Beat) {
+	switch {
+	case news.Row == nil || i.Row.Beat == 0 || was != nil && was.Beat >= i.Row.Beat:
+		news.Row = nil
+	case i.Row.Given == nil:
+		news.Row = i.Row // as it came: what is told to all is one row for all who keep it
+	default:
 		said := *i.Row
 		said.Given = nil
 		news.Row = &said
-	} else {
-		news.Row = nil
 	}
 	return news, news.Row != nil || news.Account != nil
 }
--- a/internal/fleetlab/rollout.go
+++ b/internal/fleetlab/rollout.go
@@ -82,7 +82,7 @@
 func (c *rolloutCmd) chart(kinds []string, ends map[string][]int) error {
 	p := plot.New()
 	p.Title.Text = fmt.Sprintf("%d servers, %d trials of each kind", c.Servers, c.Trials)
-	p.X.Label.Text, p.Y.Label.Text = "windows since the start", "share of the trials that have ended"
+	p.X.Label.Text, p.Y.Label.Text = "windows since the start", "share of trials ended"
 	p.X.Min, p.Y.Min, p.Y.Max = 0, 0, 1
 	for i, kind := range kinds {
 		var xy plotter.XYs
@@ -97,6 +97,6 @@
 		p.Add(line)
 		p.Legend.Add(kind, line)
 	}
-	p.Legend.Top, p.Legend.Left = true, true
+	p.Legend.Top, p.Legend.Left = false, false
 	return p.Save(18*vg.Centimeter, 9*vg.Centimeter, filepath.Join(c.Charts, "rollout.svg"))
 }
