Have members ask a few others for rights, so that moving them costs no more in a large fleet

Cause: what each can spare and lacks went to all, and so did each ack of the keeper's, so that news took more bytes than members have (9 sends of 1,000 rows in 10 s: 40 kB/s of 21). Ruled out: the escrow itself (same code, 300 members). TestBudget: 12 of 12 calls, 6 of 6 repeats, counts the same after 4.5 s (10 s before).

--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	mathrand "math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,7 @@
 type Budget struct {
 	kind   string
 	news   byte // first byte of its pieces of news
+	ask    byte // and of what is asked of it
 	name   string
 	timing share.Timing
 	total  uint64
@@ -46,6 +48,8 @@
 	clock  func() time.Duration
 	tell   func(about string, piece []byte)
 	send   func(to string, piece []byte)
+	alive  func() []string // all members that are thought to be alive
+	voters func() []string // those of them that may keep the bank
 
 	mu     sync.Mutex
 	member *share.Member
@@ -57,8 +61,8 @@
 	counts map[string]uint64 // counted since the last tick
 }
 
-func newBudget(kind string, news byte, total uint64, timing share.Timing, f *Fleet, clock func() time.Duration) (*Budget, error) {
-	b := &Budget{kind: kind, news: news, name: f.conf.Self, total: total, log: f.log, clock: clock, tell: f.tell, send: f.send,
+func newBudget(kind string, news, ask byte, total uint64, timing share.Timing, f *Fleet, clock func() time.Duration) (*Budget, error) {
+	b := &Budget{kind: kind, news: news, ask: ask, alive: f.alive, voters: f.voters, name: f.conf.Self, total: total, log: f.log, clock: clock, tell: f.tell, send: f.send,
 		freed: func() {}, ticked: func(uint64) {}, timing: timing, counts: map[string]uint64{}}
 	return b, b.begin()
 }
@@ -162,6 +166,47 @@
 	return b.about(i), news
 }
 
+// heardAsk takes in that another member asks for rights.
+func (b *Budget) heardAsk(piece []byte) {
+	var a share.Ask
+	if err := cbor.Unmarshal(piece, &a); err != nil {
+		b.log.Debug("fleet_news_unreadable", "bytes", len(piece))
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.member.Asked(a, b.clock())
+}
+
+// askFor asks some others for rights: those named, and the rest drawn.
+func (b *Budget) askFor(a share.Ask, of []share.ID) {
+	piece, err := cbor.Marshal(a)
+	if err != nil {
+		b.log.Error("fleet_share", "error", err.Error())
+		return
+	}
+	others := slices.DeleteFunc(b.alive(), func(name string) bool { return name == b.name })
+	for n := range min(share.Asks, len(others)) {
+		i := mathrand.IntN(len(others))
+		if n < len(of) {
+			if i = slices.Index(others, of[n].Member); i < 0 {
+				continue
+			}
+		}
+		b.send(others[i], append([]byte{b.ask}, piece...))
+		others = slices.Delete(others, i, i+1)
+	}
+}
+
+// sendTo tells each member what is its own alone.
+func (b *Budget) sendTo(is []share.Item) {
+	for _, i := range is {
+		if piece := b.pack(i); piece != nil && i.Of.Member != b.name {
+			b.send(i.Of.Member, piece)
+		}
+	}
+}
+
 // about names what an item is about: the next of the same name is later.
 func (b *Budget) about(i share.Item) string {
 	if i.Row != nil {
@@ -202,7 +247,8 @@
 	}
 }
 
-// changed takes in accounts that the log changed, and spreads them.
+// changed takes in accounts that the log changed: all are told who was fenced,
+// and each other member of its own.
 func (b *Budget) changed(is []share.Item) {
 	b.mu.Lock()
 	b.asked = 0
@@ -210,13 +256,14 @@
 		b.member.Merge(i, b.clock())
 	}
 	b.mu.Unlock()
-	b.spread(is)
+	b.spread(slices.DeleteFunc(slices.Clone(is), func(i share.Item) bool { return !i.Account.Fenced }))
+	b.sendTo(slices.DeleteFunc(is, func(i share.Item) bool { return i.Account.Fenced }))
 }
 
 // tick has the member speak, and the keeper decide where this process owns the
 // bank; it gives the keeper's orders for the log.
 func (b *Budget) tick(m *machine) [][]byte {
-	var out []share.Item
+	var acks []share.Item
 	var orders []share.Order
 	b.mu.Lock()
 	now := b.clock()
@@ -230,10 +277,7 @@
 			b.log.Error("fleet_share", "error", err.Error())
 		}
 	}
-	said, gifts := b.member.Tick(now)
-	if said != nil {
-		out = append(out, *said)
-	}
+	said := b.member.Tick(now)
 	token, keeps := lease.Token{}, false
 	if m != nil {
 		token, keeps = m.holds(Bank)
@@ -246,12 +290,11 @@
 	}
 	if b.keeper != nil {
 		m.mu.Lock()
-		asked, acks := b.keeper.Tick(now, b.member.State(), m.banks[b.kind])
+		var asked []share.Order
+		asked, acks = b.keeper.Tick(now, b.member.State(), m.banks[b.kind])
 		m.mu.Unlock()
 		for _, a := range acks {
-			if news, ok := b.member.Merge(a, now); ok {
-				out = append(out, news)
-			}
+			b.member.Merge(a, now)
 		}
 		if len(asked) > 0 && (b.asked == 0 || now-b.asked >= ordersAgain) {
 			orders, b.asked = asked, now
@@ -259,8 +302,21 @@
 	}
 	freed, ticked, may := b.freed, b.ticked, b.member.May(now)
 	b.mu.Unlock()
-	b.spread(out)
-	for _, g := range gifts {
+	if said.All != nil {
+		b.spread([]share.Item{*said.All})
+		if piece := b.pack(*said.All); piece != nil { // the keeper hears beats soon
+			for _, to := range b.voters() {
+				if to != b.name {
+					b.send(to, piece)
+				}
+			}
+		}
+	}
+	b.sendTo(acks)
+	if said.Ask != nil {
+		b.askFor(*said.Ask, said.AskOf)
+	}
+	for _, g := range said.Gifts {
 		if piece := b.pack(g.Item); piece != nil {
 			b.send(g.To.Member, piece)
 		}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -77,11 +77,12 @@
 	for _, b := range []struct {
 		kind  string
 		news  byte
+		ask   byte
 		total uint64
-	}{{Calls, newsCalls, c.Budget}, {Repeats, newsRepeats, c.Repeats}} {
+	}{{Calls, newsCalls, newsAskCalls, c.Budget}, {Repeats, newsRepeats, newsAskRepeats, c.Repeats}} {
 		if b.total > 0 {
 			var err error
-			if f.budgets[b.kind], err = newBudget(b.kind, b.news, b.total, c.horizon(), f, clock); err != nil {
+			if f.budgets[b.kind], err = newBudget(b.kind, b.news, b.ask, b.total, c.horizon(), f, clock); err != nil {
 				return nil, err
 			}
 		}
@@ -101,7 +102,6 @@
 		f.stopVoter()
 		return nil, err
 	}
-	f.changes.voters = func() []string { return f.members.Of(string(Voter)) }
 	f.changes.send, f.changes.stream = f.members.Send, f.members.Stream
 	close(f.joined)
 	ctx, stop := context.WithCancel(context.Background())
@@ -172,8 +172,12 @@
 	newsJudgement = 'j'
 	newsCalls     = 'c'
 	newsRepeats   = 'r'
-	newsReport    = 'p' // of a member to a voter
-	newsDirection = 'd' // of the owner of Rollout to a member
+
+	// These go to one member each, and are not passed on.
+	newsAskCalls   = 'C'
+	newsAskRepeats = 'R'
+	newsReport     = 'p' // of a member to a voter
+	newsDirection  = 'd' // of the owner of Rollout to a member
 )
 
 // news is what the members tell each other: gossip.News.
@@ -193,8 +197,11 @@
 		n.f.changes.heardDirection(piece[1:])
 	}
 	for _, b := range n.f.budgets {
-		if b.news == piece[0] {
+		switch piece[0] {
+		case b.news:
 			return b.heard(piece[1:])
+		case b.ask:
+			b.heardAsk(piece[1:])
 		}
 	}
 	return "", false
@@ -229,6 +236,26 @@
 	}
 }
 
+// alive names the members that are thought to be alive, voters those of them
+// that vote; none before this one has joined.
+func (f *Fleet) alive() []string {
+	select {
+	case <-f.joined:
+		return f.members.Alive()
+	default:
+		return nil
+	}
+}
+
+func (f *Fleet) voters() []string {
+	select {
+	case <-f.joined:
+		return f.members.Of(string(Voter))
+	default:
+		return nil
+	}
+}
+
 // Budget is this member's part of one of the fleet's budgets, nil where there is
 // none of that kind.
 func (f *Fleet) Budget(kind string) *Budget { return f.budgets[kind] }
--- a/fleet/share/bank.go
+++ b/fleet/share/bank.go
@@ -198,8 +198,8 @@
 	return &Keeper{timing: timing, total: total, since: now, heard: map[ID]heard{}}
 }
 
-// Tick gives the orders to send to the log, and the acks to spread, by what
-// the keeper knows at a time. Orders that are refused, or lost, come again.
+// Tick gives the orders to send to the log, and the acks, each for the member it
+// is of, by what the keeper knows at a time. Orders that are refused, or lost, come again.
 func (k *Keeper) Tick(now time.Duration, s State, b *Bank) (orders []Order, acks []Item) {
 	ids := slices.SortedFunc(maps.Keys(s.Rows), compareIDs)
 	var live, waiting []ID
@@ -211,7 +211,12 @@
 		}
 		if h, known := k.heard[id]; !known || row.Beat > h.beat {
 			k.heard[id] = heard{row.Beat, now}
-			acks = append(acks, Item{Of: id, Account: &Account{Acked: row.Beat}})
+			ack := Account{}
+			if a != nil { // again and again, as it may have been lost
+				ack = *a
+			}
+			ack.Acked = row.Beat
+			acks = append(acks, Item{Of: id, Account: &ack})
 		}
 		if a == nil {
 			waiting = append(waiting, id)
--- a/fleet/share/emulate/emulate.go
+++ b/fleet/share/emulate/emulate.go
@@ -71,6 +71,7 @@
 	to    int
 	group int
 	items []share.Item
+	ask   *share.Ask
 }
 
 // Fleet is a fleet at work.
@@ -251,14 +252,24 @@
 				panic(err) // the timing was right before
 			}
 		}
-		item, gifts := n.m.Tick(f.clock(n))
-		if item != nil {
-			f.send(n, *item)
+		said := n.m.Tick(f.clock(n))
+		if said.All != nil {
+			f.send(n, *said.All)
+			f.tell(n, f.owner, *said.All) // the keeper hears beats soon
 		}
-		for _, g := range gifts {
-			if to := f.place(g.To); to >= 0 {
-				n.bytes += f.size(g.Item)
-				f.post(letter{to: to, group: n.group, items: []share.Item{g.Item}})
+		for _, g := range said.Gifts {
+			f.tell(n, f.place(g.To), g.Item)
+		}
+		if said.Ask != nil {
+			for k := range share.Asks {
+				to := f.rng.IntN(len(f.nodes))
+				if k < len(said.AskOf) {
+					to = f.place(said.AskOf[k])
+				}
+				if to >= 0 && to != i {
+					n.bytes += askSize
+					f.post(letter{to: to, group: n.group, ask: said.Ask})
+				}
 			}
 		}
 		if i == f.owner {
@@ -274,11 +285,24 @@
 	}
 }
 
+// askSize is about what an Ask takes on the wire.
+const askSize = 64
+
+// tell has a member say something to one other alone.
+func (f *Fleet) tell(n *node, to int, i share.Item) {
+	if to < 0 || f.nodes[to] == n {
+		return
+	}
+	n.bytes += f.size(i)
+	f.post(letter{to: to, group: n.group, items: []share.Item{i}})
+}
+
 // keep has the keeper decide; its orders come to the bank at once.
 func (f *Fleet) keep(n *node) {
 	orders, acks := f.keeper.Tick(f.clock(n), n.m.State(), f.bank)
 	for _, a := range acks {
 		f.merge(n, a)
+		f.tell(n, f.place(a.Of), a)
 	}
 	for _, o := range orders {
 		f.index++
@@ -287,7 +311,9 @@
 			continue // it comes again if it is still called for
 		}
 		for _, i := range items {
-			f.merge(n, i)
+			if f.merge(n, i); !i.Account.Fenced {
+				f.tell(n, f.place(i.Of), i)
+			}
 		}
 	}
 }
@@ -418,6 +444,9 @@
 	for _, i := range l.items {
 		f.merge(n, i)
 	}
+	if l.ask != nil {
+		n.m.Asked(*l.ask, f.clock(n))
+	}
 }
 
 // Overshoot is the most that all had in hand beyond the budget so far; below
--- a/fleet/share/member.go
+++ b/fleet/share/member.go
@@ -10,7 +10,7 @@
 
 // mostPartners is how many members one gives rights to in its life, at most: it
 // bounds its row.
-const mostPartners = 64
+const mostPartners = 256
 
 // Member is one life of a member: what it knows, holds and has in hand. It is
 // not safe for concurrent use.
@@ -33,12 +33,12 @@
 	rights  int64
 	stale   bool // rights need reckoning
 
-	// What a member looks at often is kept as items come, so that a large fleet
-	// costs no more than a small one: who has given it anything, what all others
-	// that the bank knows can spare, and who of them lacks how much.
-	givers  map[ID]struct{}
-	spares  uint64
-	lacking map[ID]uint64
+	givers map[ID]struct{} // who has given it anything
+	asked  map[ID]uint64   // who has asked it for how much since the last tick
+	// Who may have some to spare, by what each said last, and its place there: those
+	// that were asked are left out until they give, or say so again.
+	sparing   []ID
+	sparingAt map[ID]int
 }
 
 type beat struct {
@@ -52,7 +52,7 @@
 		return nil, err
 	}
 	return &Member{self: self, timing: timing, state: NewState(), rng: rng, stale: true, changed: true,
-		givers: map[ID]struct{}{}, lacking: map[ID]uint64{}}, nil
+		givers: map[ID]struct{}{}, asked: map[ID]uint64{}, sparingAt: map[ID]int{}}, nil
 }
 
 // State is what the member knows; it must not be changed.
@@ -157,16 +157,36 @@
 	Item Item
 }
 
-// Tick has the member give what it can spare to those that lack, and gives what
-// it has to say: to all, without what it has given, where there is something
-// new (else nil), and to single others. It is to be called steadily, a few times
-// a second. How often it speaks goes with Timing.Beat: what it lacks is said
-// soon, what it can spare later.
-func (m *Member) Tick(now time.Duration) (all *Item, gifts []Gift) {
+// Ask is what a member that lacks rights says to Asks others, drawn anew each
+// time, so that what it costs does not grow with the fleet: one that can spare
+// some gives its part. It is not passed on.
+type Ask struct {
+	_       struct{} `cbor:",toarray"`
+	Of      ID
+	Need    uint64
+	Account Account // the asker's, so that one who has not heard of it may give
+}
+
+// Asks is how many others an Ask goes to: each gives so many parts of it at most.
+const Asks = 3
+
+// Said is what a member has to say at a tick.
+type Said struct {
+	All   *Item  // to all, and soon to those who may keep the bank; nil for nothing
+	Gifts []Gift // to one each
+	Ask   *Ask   // to Asks others; nil where it lacks nothing
+	// AskOf are those of whom it is known that they had some to spare; the rest of
+	// Asks is drawn from all.
+	AskOf []ID
+}
+
+// Tick has the member give what it can spare to those that asked, and gives what
+// it has to say. It is to be called steadily, a few times a second.
+func (m *Member) Tick(now time.Duration) (said Said) {
 	m.want = max(float64(m.peak)+min(float64(m.refused), max(4, float64(m.peak))), m.want*wantMemory)
 	m.peak, m.refused = m.used, 0
 	if m.Fenced() {
-		return nil, nil
+		return said
 	}
 	rights := m.Rights()
 	want := uint64(m.want + 0.5)
@@ -176,22 +196,27 @@
 	} else {
 		need = want - min(want, rights)
 	}
-	if now < m.until { // one that hears nothing gives nothing either
-		gifts = m.give(spare)
-		for _, g := range gifts {
+	if now < m.until { // one that hears nothing gives nothing, and has no use for more
+		said.Gifts = m.give(spare)
+		for _, g := range said.Gifts {
 			spare -= g.Item.Row.Given[g.To] - m.state.Rows[m.self].givenTo(g.To)
 		}
+		if a := m.state.Accounts[m.self]; need > 0 && a != nil && a.Index > 0 {
+			said.Ask = &Ask{Of: m.self, Need: need, Account: *a}
+			for len(said.AskOf) < Asks-1 && len(m.sparing) > 0 {
+				id := m.sparing[m.rng.IntN(len(m.sparing))]
+				m.spares(id, false)
+				said.AskOf = append(said.AskOf, id)
+			}
+		}
 	}
+	clear(m.asked)
 	quiet := now - m.said
-	switch {
-	case m.row.Beat == 0, m.changed, quiet >= m.timing.Beat:
-	case differs(need, m.row.Need) && quiet >= m.timing.Beat/needSoon:
-	case differs(spare, m.row.Spare) && quiet >= m.timing.Beat/spareSoon:
-	default:
-		if len(gifts) > 0 { // the whole row, for those who ask later
+	if m.row.Beat > 0 && !m.changed && quiet < m.timing.Beat && (quiet < m.timing.Beat/spareSoon || !differs(spare, m.row.Spare)) {
+		if len(said.Gifts) > 0 { // the whole row, for those who ask later
 			m.keep()
 		}
-		return nil, gifts
+		return said
 	}
 	m.row.Spare, m.row.Need, m.changed, m.said = spare, need, false, now
 	m.row.Beat++
@@ -200,16 +225,43 @@
 		m.beats = slices.Delete(m.beats, 1, 2)
 	}
 	m.keep()
-	said := m.row
-	said.Given = nil
-	return &Item{Of: m.self, Row: &said}, gifts
+	row := m.row
+	row.Given = nil
+	said.All = &Item{Of: m.self, Row: &row}
+	return said
 }
 
-// What has changed is said so many times as often as a beat, at most.
-const (
-	needSoon  = 8
-	spareSoon = 2
-)
+// spareSoon is how many times as often as a beat what can be spared is said, at
+// most, while it changes.
+const spareSoon = 4
+
+// differs tells whether a figure has moved enough to be said again: up by a
+// quarter, or to nothing.
+func differs(now, said uint64) bool { return now > said+said/4 || now == 0 && said > 0 }
+
+// spares notes whether another may have some to spare.
+func (m *Member) spares(id ID, on bool) {
+	at, there := m.sparingAt[id]
+	switch {
+	case on && !there && id != m.self:
+		m.sparingAt[id] = len(m.sparing)
+		m.sparing = append(m.sparing, id)
+	case !on && there:
+		last := m.sparing[len(m.sparing)-1]
+		m.sparing[at], m.sparingAt[last] = last, at
+		m.sparing = m.sparing[:len(m.sparing)-1]
+		delete(m.sparingAt, id)
+	}
+}
+
+// Asked takes in that another asks for rights: until the next tick.
+func (m *Member) Asked(a Ask, now time.Duration) {
+	if a.Of == m.self {
+		return
+	}
+	m.Merge(Item{Of: a.Of, Account: &a.Account}, now)
+	m.asked[a.Of] = a.Need
+}
 
 // keep puts the member's row into its state.
 func (m *Member) keep() {
@@ -224,54 +276,31 @@
 	return r.Given[id]
 }
 
-// differs tells whether a figure has moved enough to be said again: by a
-// quarter, or from or to nothing.
-func differs(now, said uint64) bool {
-	return (now == 0) != (said == 0) || max(now, said)-min(now, said) > said/4
-}
-
 // mostBeats is how many beats are remembered as not acked.
 const mostBeats = 256
 
-// give gives spare rights away. All that can spare give the same part of it, as
-// much as makes up what all lack, each to a member drawn by what that lacks.
+// give gives spare rights to those that asked: to each its part of what it lacks,
+// as long as there are any, in an order that is drawn.
 func (m *Member) give(spare uint64) (gifts []Gift) {
-	if spare == 0 {
-		return nil
-	}
-	var needs uint64
-	var ids []ID
-	for id, need := range m.lacking {
-		if _, partner := m.row.Given[id]; partner || len(m.row.Given) < mostPartners {
-			needs += need
-			ids = append(ids, id)
-		}
-	}
-	if needs == 0 {
+	if spare == 0 || len(m.asked) == 0 {
 		return nil
 	}
-	slices.SortFunc(ids, compareIDs) // maps have no order, draws must
-	part := float64(spare) * min(1, float64(needs)/float64(m.spares+spare))
-	for left := uint64(part + m.rng.Float64()); left > 0; { // rounded by a draw, so that small parts add up
-		at := m.rng.Uint64N(needs)
-		i := 0
-		for ; at >= m.lacking[ids[i]]; i++ {
-			at -= m.lacking[ids[i]]
-		}
-		n := min(left, m.lacking[ids[i]])
-		if _, partner := m.row.Given[ids[i]]; !partner && len(m.row.Given) >= mostPartners {
-			break
+	ids := slices.SortedFunc(maps.Keys(m.asked), compareIDs) // maps have no order, draws must
+	m.rng.Shuffle(len(ids), func(i, j int) { ids[i], ids[j] = ids[j], ids[i] })
+	for _, id := range ids {
+		a := m.state.Accounts[id]
+		if _, partner := m.row.Given[id]; spare == 0 || a == nil || a.Index == 0 || a.Fenced || !partner && len(m.row.Given) >= mostPartners {
+			continue // Index 0: the bank, which may not know of it, would not ask it for a report
 		}
+		n := min(spare, (m.asked[id]+Asks-1)/Asks)
+		spare -= n
 		m.row.Given = maps.Clone(m.row.Given)
 		if m.row.Given == nil {
 			m.row.Given = map[ID]uint64{}
 		}
-		m.row.Given[ids[i]] += n
-		left -= n
+		m.row.Given[id] += n
 		m.stale = true
-		total := map[ID]uint64{ids[i]: m.row.Given[ids[i]]}
-		gifts = slices.DeleteFunc(gifts, func(g Gift) bool { return g.To == ids[i] })
-		gifts = append(gifts, Gift{ids[i], Item{Of: m.self, Row: &Row{Given: total}}})
+		gifts = append(gifts, Gift{id, Item{Of: m.self, Row: &Row{Given: map[ID]uint64{id: m.row.Given[id]}}}})
 	}
 	return gifts
 }
@@ -281,8 +310,9 @@
 }
 
 // Merge takes an item in, from anybody, and gives what of it was news and is
-// to be passed on; false where nothing is. What members gave each other is not:
-// it matters to the two alone.
+// to be passed on; false where nothing is. What members gave each other is not,
+// as it matters to the two alone, nor is the account of one that is not fenced,
+// as the bank's keeper tells it to that one.
 func (m *Member) Merge(i Item, now time.Duration) (Item, bool) {
 	if i.Of == m.self {
 		i.Row = nil // nobody knows better
@@ -291,12 +321,20 @@
 	if a := m.state.Accounts[i.Of]; (i.Row == nil || was != nil && was.covers(i.Row)) && (i.Account == nil || a == i.Account) {
 		return Item{Of: i.Of}, false // most of what comes has come before
 	}
-	spare, _ := m.openTo(i.Of)
 	news, ok := m.state.Join(i)
 	if !ok {
 		return news, false
 	}
-	m.tally(i.Of, spare)
+	if now := m.state.Rows[i.Of]; i.Of != m.self && now != nil {
+		if was == nil || was.Beat < now.Beat {
+			a := m.state.Accounts[i.Of]
+			m.spares(i.Of, now.Spare > 0 && (a == nil || !a.Fenced))
+		}
+		if given := now.givenTo(m.self); given > was.givenTo(m.self) {
+			m.givers[i.Of] = struct{}{}
+			m.spares(i.Of, true)
+		}
+	}
 	if news.Row != nil && (was == nil || was.Given[m.self] != news.Row.Given[m.self]) || news.Account != nil {
 		m.stale = true
 	}
@@ -305,6 +343,9 @@
 	} else if a := m.state.Accounts[i.Of]; a != nil && a.Fenced && news.Account != nil {
 		m.close(i.Of, a)
 	}
+	if news.Account != nil && !news.Account.Fenced {
+		news.Account = nil
+	}
 	switch {
 	case news.Row == nil || i.Row.Beat == 0 || was != nil && was.Beat >= i.Row.Beat:
 		news.Row = nil
@@ -318,31 +359,6 @@
 	return news, news.Row != nil || news.Account != nil
 }
 
-// openTo gives what another can spare and lacks, both 0 where nothing may be
-// given to it: the bank would not ask one that it does not know (Index 0) for a
-// report, and one that was fenced takes nothing in any more.
-func (m *Member) openTo(id ID) (spare, need uint64) {
-	row, a := m.state.Rows[id], m.state.Accounts[id]
-	if id == m.self || row == nil || a == nil || a.Index == 0 || a.Fenced {
-		return 0, 0
-	}
-	return row.Spare, row.Need
-}
-
-// tally takes an ID's news into what is kept, by what it could spare before.
-func (m *Member) tally(id ID, before uint64) {
-	spare, need := m.openTo(id)
-	m.spares += spare - before
-	if need > 0 {
-		m.lacking[id] = need
-	} else {
-		delete(m.lacking, id)
-	}
-	if row := m.state.Rows[id]; id != m.self && row.givenTo(m.self) > 0 {
-		m.givers[id] = struct{}{}
-	}
-}
-
 // acked notes that the keeper has heard a beat.
 func (m *Member) acked(n uint64) {
 	for len(m.beats) > 0 && m.beats[0].n <= n {
