--- a/internal/fleetlab/share.go
+++ b/internal/fleetlab/share.go
@@ -20,18 +20,15 @@
 type shareCmd struct {
 	Members []int    `default:"300,3000" help:"Sizes of fleets."`
 	Seed    uint64   `default:"1"`
+	Warm    int      `default:"200" help:"Rounds (200 ms) before the cut."`
+	Cut     int      `default:"100" help:"Rounds that it lasts."`
+	Heal    int      `default:"250" help:"Rounds after it."`
 	Only    []string `help:"Names of partitions; all without it."`
 	Beside  int      `default:"2" help:"Plays at a time: one of 3,000 members takes some GiB."`
 	Charts  string   `default:"docs" help:"Folder for the charts."`
 }
 
-// The course of a play, in rounds of 200 ms.
-const (
-	warmRounds = 200
-	cutRounds  = 100
-	healRounds = 250
-	roundTime  = 200 * time.Millisecond
-)
+const roundTime = 200 * time.Millisecond
 
 // partition puts members into groups.
 type partition struct {
@@ -103,7 +100,7 @@
 		fmt.Printf("| %d | %s | %d | %.3f | %.3f | %.3f | %d | %.0f |\n", j.members, j.p.name, max(0, j.out.overshoot),
 			j.out.healed, j.out.cut, j.out.again, j.out.rounds, j.out.bytes)
 		if j.p.name == "halves" {
-			if err := chart(filepath.Join(c.Charts, fmt.Sprintf("share-%d.svg", j.members)), j.members, j.out); err != nil {
+			if err := c.chart(filepath.Join(c.Charts, fmt.Sprintf("share-%d.svg", j.members)), j.members, j.out); err != nil {
 				return err
 			}
 		}
@@ -141,24 +138,25 @@
 		}
 		return served / float64(n)
 	}
-	out.healed = run(warmRounds, warmRounds/2)
+	out.healed = run(c.Warm, c.Warm/2)
 	f.Partition(func(i int) int { return p.group(i, members) })
-	out.cut = run(cutRounds, 0)
+	out.cut = run(c.Cut, 0)
 	f.Partition(func(int) int { return 0 })
 	marks := f.Marks()
-	for out.rounds < healRounds/2 && !f.Know(marks) {
+	for out.rounds < c.Heal/2 && !f.Know(marks) {
 		run(1, 0)
 		out.rounds++
 	}
-	out.again = run(healRounds-out.rounds, (healRounds-out.rounds)/2)
+	out.again = run(c.Heal-out.rounds, (c.Heal-out.rounds)/2)
 	out.overshoot, out.bytes = f.Overshoot(), f.SentBytes()/(float64(round)*roundTime.Seconds())
 	return out, nil
 }
 
 // chart draws what was wanted and in hand over a play.
-func chart(path string, members int, out play) error {
+func (c *shareCmd) chart(path string, members int, out play) error {
 	p := plot.New()
-	p.Title.Text = fmt.Sprintf("%d members, in halves from %v to %v", members, warmRounds*roundTime, (warmRounds+cutRounds)*roundTime)
+	p.Title.Text = fmt.Sprintf("%d members, in halves from %v to %v", members,
+		time.Duration(c.Warm)*roundTime, time.Duration(c.Warm+c.Cut)*roundTime)
 	p.X.Label.Text, p.Y.Label.Text = "seconds", "in hand at the shared dependency"
 	p.Y.Min = 0
 	bound := plotter.XYs{{X: 0, Y: float64(members * budget)}, {X: out.used[len(out.used)-1].X, Y: float64(members * budget)}}
