Let one piece of code check tokens, encode commands and read news in the fleet

Read again: the look whether a token is the present owner's stood twice in the machine, the encoding of the log's commands and the reading of a piece of news three and four times; a beat was packed twice; a record was copied whose maps are never written into; four tests waited in loops of their own. Behaviour and assertions stay. The fleet's process tests pass.

--- a/fleet/budget.go
+++ b/fleet/budget.go
@@ -3,7 +3,6 @@
 import (
 	"crypto/rand"
 	"encoding/binary"
-	"encoding/json"
 	"fmt"
 	"log/slog"
 	mathrand "math/rand/v2"
@@ -153,11 +152,19 @@
 	return b.member.Rights(), b.member.Used()
 }
 
+// unpack reads a piece of news; what makes no sense is passed over.
+func unpack[T any](log *slog.Logger, piece []byte) (v T, ok bool) {
+	if err := cbor.Unmarshal(piece, &v); err != nil {
+		log.Debug("fleet_news_unreadable", "bytes", len(piece))
+		return v, false
+	}
+	return v, true
+}
+
 // heard takes in a piece of news.
 func (b *Budget) heard(piece []byte) (about string, news bool) {
-	var i share.Item
-	if err := cbor.Unmarshal(piece, &i); err != nil {
-		b.log.Debug("fleet_news_unreadable", "bytes", len(piece))
+	i, ok := unpack[share.Item](b.log, piece)
+	if !ok {
 		return "", false
 	}
 	b.mu.Lock()
@@ -168,9 +175,8 @@
 
 // heardAsk takes in that another member asks for rights.
 func (b *Budget) heardAsk(piece []byte) {
-	var a share.Ask
-	if err := cbor.Unmarshal(piece, &a); err != nil {
-		b.log.Debug("fleet_news_unreadable", "bytes", len(piece))
+	a, ok := unpack[share.Ask](b.log, piece)
+	if !ok {
 		return
 	}
 	b.mu.Lock()
@@ -303,9 +309,9 @@
 	freed, ticked, may := b.freed, b.ticked, b.member.May(now)
 	b.mu.Unlock()
 	if said.All != nil {
-		b.spread([]share.Item{*said.All})
-		if piece := b.pack(*said.All); piece != nil { // the keeper hears beats soon
-			for _, to := range b.voters() {
+		if piece := b.pack(*said.All); piece != nil {
+			b.tell(b.about(*said.All), piece)
+			for _, to := range b.voters() { // the keeper hears beats soon
 				if to != b.name {
 					b.send(to, piece)
 				}
@@ -323,14 +329,9 @@
 	}
 	freed()
 	ticked(may)
-	var commands [][]byte
+	var commands []command
 	for _, o := range orders {
-		c, err := json.Marshal(command{Bank: &bankOrder{b.kind, token, o}})
-		if err != nil {
-			b.log.Error("fleet_command", "error", err.Error())
-			continue
-		}
-		commands = append(commands, c)
+		commands = append(commands, command{Bank: &bankOrder{b.kind, token, o}})
 	}
-	return commands
+	return encode(b.log, commands...)
 }
--- a/fleet/changes.go
+++ b/fleet/changes.go
@@ -56,7 +56,7 @@
 }
 
 func newChanges(f *Fleet) *changes {
-	return &changes{conf: &f.conf, log: f.log, life: f.self.Life, machine: f.machine, voters: f.voters, owner: f.Owner,
+	return &changes{conf: &f.conf, log: f.log, life: f.self.Life, voters: f.voters, owner: f.Owner,
 		collector: rollout.NewCollector(), told: make(chan rollout.Direction, 1), telling: map[string]bool{}}
 }
 
@@ -103,9 +103,8 @@
 
 // heardReport takes in what a member says of itself.
 func (c *changes) heardReport(piece []byte) {
-	var r rollout.Report
-	if err := cbor.Unmarshal(piece, &r); err != nil {
-		c.log.Debug("fleet_news_unreadable", "bytes", len(piece))
+	r, ok := unpack[rollout.Report](c.log, piece)
+	if !ok {
 		return
 	}
 	c.mu.Lock()
@@ -115,9 +114,8 @@
 
 // heardDirection takes in the owner's word on this process's settings.
 func (c *changes) heardDirection(piece []byte) {
-	var d rollout.Direction
-	if err := cbor.Unmarshal(piece, &d); err != nil {
-		c.log.Debug("fleet_news_unreadable", "bytes", len(piece))
+	d, ok := unpack[rollout.Direction](c.log, piece)
+	if !ok {
 		return
 	}
 	c.mu.Lock()
@@ -216,12 +214,8 @@
 }
 
 func (c *changes) propose(o command) {
-	b, err := json.Marshal(o)
-	if err != nil {
-		c.log.Error("fleet_command", "error", err.Error())
-		return
-	}
-	c.node.Do(func() [][]byte { return [][]byte{b} })
+	entries := encode(c.log, o)
+	c.node.Do(func() [][]byte { return entries })
 }
 
 // direct tells servers that run other settings than they should which ones to
--- a/fleet/consensus/members.go
+++ b/fleet/consensus/members.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"maps"
 	"slices"
+	"strings"
 
 	"go.etcd.io/raft/v3"
 	"go.etcd.io/raft/v3/raftpb"
@@ -46,12 +47,7 @@
 // Voters gives the group as this voter knows it, in the order of names.
 func (n *Node) Voters() []Voter {
 	all := slices.Collect(maps.Values(n.group()))
-	slices.SortFunc(all, func(a, b Voter) int {
-		if a.Name < b.Name {
-			return -1
-		}
-		return 1
-	})
+	slices.SortFunc(all, func(a, b Voter) int { return strings.Compare(a.Name, b.Name) })
 	return all
 }
 
--- a/fleet/fleet_test.go
+++ b/fleet/fleet_test.go
@@ -66,6 +66,20 @@
 	return run{f, t}
 }
 
+// until asks again and again until what is asked is so; it gives what there was
+// instead, should that take too long.
+func (r run) until(what string, is func() (instead string, ok bool)) {
+	r.t.Helper()
+	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+		instead, ok := is()
+		if ok {
+			return
+		} else if time.Now().After(deadline) {
+			r.t.Fatalf("%s: not so within 30 s: %s", what, instead)
+		}
+	}
+}
+
 // after waits for an act that the registry accepted under a higher token.
 func (r run) after(t lease.Token) standin.Act {
 	r.t.Helper()
--- a/fleet/machine.go
+++ b/fleet/machine.go
@@ -94,12 +94,9 @@
 		m.mu.Unlock()
 		return
 	}
-	g := m.member.Table().Grant(Bank)
 	var items []share.Item
-	var err error
-	if g.Token != o.Token || g.Free() {
-		err = &lease.StaleError{Lease: Bank, Token: o.Token, Highest: g.Token}
-	} else {
+	err := m.stale(Bank, o.Token)
+	if err == nil {
 		items, err = bank.Apply(o.Order, index)
 	}
 	m.mu.Unlock()
@@ -117,9 +114,10 @@
 	m.mu.Lock()
 	was := m.record
 	var err error
-	if g := m.member.Table().Grant(Rollout); o.Order.Kind == rollout.Step && (g.Token != o.Token || g.Free()) {
-		err = &lease.StaleError{Lease: Rollout, Token: o.Token, Highest: g.Token}
-	} else {
+	if o.Order.Kind == rollout.Step {
+		err = m.stale(Rollout, o.Token)
+	}
+	if err == nil {
 		m.record, err = was.Apply(o.Order, index)
 	}
 	if outcome := m.asked[o.Nonce]; outcome != nil {
@@ -138,11 +136,21 @@
 	}
 }
 
-// changes gives the record of changes as it stands.
+// stale tells that a token is not that of a lease's present owner. The lock is
+// held.
+func (m *machine) stale(name string, token lease.Token) error {
+	if g := m.member.Table().Grant(name); g.Token != token || g.Free() {
+		return &lease.StaleError{Lease: name, Token: token, Highest: g.Token}
+	}
+	return nil
+}
+
+// changes gives the record of changes as it stands; it is replaced, never written
+// into.
 func (m *machine) changes() rollout.Record {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	return m.record.Clone()
+	return m.record
 }
 
 // await gives where the outcome of an operator's order will come, and forget
@@ -191,12 +199,22 @@
 	return m.encode(m.member.Tick(m.clock(), leader))
 }
 
-func (m *machine) encode(commands []lease.Command) [][]byte {
+func (m *machine) encode(leases []lease.Command) [][]byte {
+	commands := make([]command, len(leases))
+	for i := range leases {
+		commands[i].Command = &leases[i]
+	}
+	return encode(m.log, commands...)
+}
+
+// encode gives commands as entries for the log; what can't be encoded is left
+// out, which the log of the process tells.
+func encode(log *slog.Logger, commands ...command) [][]byte {
 	var out [][]byte
 	for _, c := range commands {
-		b, err := json.Marshal(command{Command: &c})
+		b, err := json.Marshal(c)
 		if err != nil {
-			m.log.Error("fleet_command", "error", err.Error())
+			log.Error("fleet_command", "error", err.Error())
 			continue
 		}
 		out = append(out, b)
--- a/fleet/rollout/record.go
+++ b/fleet/rollout/record.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"maps"
 	"strconv"
 )
 
@@ -175,9 +174,3 @@
 	}
 	return of, r.Current
 }
-
-// Clone copies a record, so that its maps may be read elsewhere.
-func (r Record) Clone() Record {
-	r.Patches = maps.Clone(r.Patches)
-	return r // plans and states are replaced, never written into
-}
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -83,13 +83,10 @@
 	r.t.Helper()
 	file := filepath.Join(r.t.TempDir(), "plan.toml")
 	writeFile(r.t, file, fmt.Sprintf(plan, patience, worse))
-	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(window) {
-		if s, err := r.Change("v1"); err == nil && len(s.Servers) == 6 {
-			break
-		} else if time.Now().After(deadline) {
-			r.t.Fatalf("v1 knows of %d servers: %v", len(s.Servers), err)
-		}
-	}
+	r.until("v1 knows of all servers", func() (string, bool) {
+		s, err := r.Change("v1")
+		return fmt.Sprint(len(s.Servers), " ", err), err == nil && len(s.Servers) == 6
+	})
 	if out, err := r.operator("v1", "rollout start", append([]string{"--plan", file}, args...)...); err != nil {
 		r.t.Fatalf("%v: %s", err, out)
 	}
@@ -166,13 +163,10 @@
 	if r.Running("late") != 1 {
 		t.Errorf("%d servers run it", r.Running("late"))
 	}
-	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(window) {
-		if out, err := r.operator("v2", "rollout status"); err == nil && strings.Contains(out, "waits for:") {
-			break
-		} else if time.Now().After(deadline) {
-			t.Fatalf("no server is named: %v\n%s", err, out)
-		}
-	}
+	r.until("the server is named", func() (string, bool) {
+		out, err := r.operator("v2", "rollout status")
+		return fmt.Sprint(err, "\n", out), err == nil && strings.Contains(out, "waits for:")
+	})
 	close(stuck)
 	r.phase("", "halted", "0")
 	most, err := starter.Stop()
@@ -260,16 +254,15 @@
 	r.phase("", "replacing", "0")
 	// The plan's name draws which server is the first: a plain member here.
 	var first string
-	for deadline := time.Now().Add(30 * time.Second); first == ""; time.Sleep(window) {
-		for name := range r.Children {
-			if s, err := r.Change("v1"); err == nil && s.Desired[name] == "v2" {
+	r.until("a server is to run v2", func() (string, bool) {
+		s, err := r.Change("v1")
+		for name, version := range s.Desired {
+			if version == "v2" {
 				first = name
 			}
 		}
-		if time.Now().After(deadline) {
-			t.Fatal("no server is to run v2")
-		}
-	}
+		return fmt.Sprint(err), first != ""
+	})
 	if !strings.HasPrefix(first, "m") {
 		t.Fatalf("the first is %s", first)
 	}
--- a/fleet/voters_test.go
+++ b/fleet/voters_test.go
@@ -1,9 +1,9 @@
 package fleet_test
 
 import (
+	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"quincerail.example/quincerail/fleet/lease"
 	"quincerail.example/quincerail/internal/fleettest"
@@ -13,14 +13,10 @@
 // voters waits until a voter's list of the group satisfies is.
 func (r run) voters(at, what string, is func(list string) bool) {
 	r.t.Helper()
-	for deadline := time.Now().Add(30 * time.Second); ; time.Sleep(50 * time.Millisecond) {
+	r.until(what, func() (string, bool) {
 		out, err := r.operator(at, "voters list")
-		if err == nil && is(out) {
-			return
-		} else if time.Now().After(deadline) {
-			r.t.Fatalf("%s: %v\n%s", what, err, out)
-		}
-	}
+		return fmt.Sprint(err, "\n", out), err == nil && is(out)
+	})
 }
 
 // TestVoters has the group of voters change while the fleet's work goes on: one
