--- a/routing/book.go
+++ b/routing/book.go
@@ -45,6 +45,9 @@
 		return
 	}
 	e := a.entry
+	if a.paused {
+		c.bookRun(a, Cut, Payload{})
+	}
 	for _, r := range c.keys.leave(a) {
 		c.followUps = append(c.followUps, func() { c.settleRepeat(r, e) })
 	}
--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -27,6 +27,7 @@
 	mu       sync.Mutex           // the test holds it but for its waits
 	begun    map[string]time.Time // runs that have not ended, by request
 	runs     map[string]int
+	bodies   map[string]string // that a run was begun with last
 	answers  map[string][]Outcome
 	answered map[string]time.Time
 	asked    map[string]int // number of the call that is out
@@ -60,6 +61,7 @@
 	defer p.lock()()
 	p.begun[r.ID] = time.Now()
 	p.runs[r.ID]++
+	p.bodies[r.ID] = string(r.Payload.Body)
 }
 
 // Interrupt implements Backend.
@@ -131,7 +133,7 @@
 // newPartyWith makes a party whose core has other options.
 func newPartyWith(t *testing.T, change func(*Options)) *party {
 	t.Helper()
-	p := &party{change: change, begun: make(map[string]time.Time), runs: make(map[string]int), answers: make(map[string][]Outcome),
+	p := &party{change: change, begun: make(map[string]time.Time), runs: make(map[string]int), bodies: make(map[string]string), answers: make(map[string][]Outcome),
 		answered: make(map[string]time.Time), asked: make(map[string]int), resumed: make(map[string]string),
 		gaveUp: make(map[string]time.Time)}
 	var ctx context.Context
--- a/routing/relay.go
+++ b/routing/relay.go
@@ -21,6 +21,11 @@
 	c.endCall(a)
 	c.released(a, took, end == Good)
 	a.pooled = false
+	if end == Cut && a.halting && !a.answered && c.set.Stop == decision.StopPause {
+		a.begun, a.paused = false, true // what it has of its key stays claimed
+		c.module.Done(c.now, id, decision.Cancelled, took)
+		return
+	}
 	outcome := [...]decision.Outcome{Good: decision.OK, Bad: decision.Errored, Cut: decision.Cancelled, Unborn: decision.Moot}[end]
 	c.bookRun(a, end, result)
 	switch end {
--- a/routing/route.go
+++ b/routing/route.go
@@ -12,6 +12,11 @@
 	if a == nil || a.answered || a.begun {
 		return
 	}
+	if a.paused { // its key is claimed, by itself
+		a.paused, a.halting = false, false
+		h.send(a)
+		return
+	}
 	// Guards rule 2 whatever the module says: within the window of a try that
 	// ran, no other try of the key is begun.
 	if a.entry != nil && !h.keys.claim(a, a.kind.Window) {
@@ -72,6 +77,7 @@
 		h.pools.Leave(a.class, id)
 		h.followUps = append(h.followUps, func() { h.completed(id, Unborn, 0, Payload{}) })
 	default:
+		a.halting = true
 		a.backend.Interrupt(id)
 	}
 }
--- a/routing/send.go
+++ b/routing/send.go
@@ -41,7 +41,9 @@
 
 func (c *Core) begin(a *attempt) {
 	a.backend.Begin(Run{ID: a.ID, Class: a.Class, Due: time.Unix(0, int64(a.due)), Payload: a.Payload})
-	a.Payload = Payload{} // the backend has it; a kept key need not
+	if c.set.Stop != decision.StopPause { // else it is begun again with the same, once it was paused
+		a.Payload = Payload{} // the backend has it; a kept key need not
+	}
 }
 
 // turnAway answers a run that its pool has no room for: it never ran.
