Make a connection's end and the way out state machines that lose nothing at a crossing

Each was forced on real sockets, where it failed: - transport/conn.go, Retire: a read whose deadline is past fails without a look at the socket, so a whole request that had come on a resting connection, but was not read yet, was dropped with it. Half-closed is a state now in which nobody wakes. - Serve: a message that makes no sense closed the connection at once, with the answers to others on it. They are awaited now (deaf). - program/thrift.go: an answer was forgotten as owed before it was sent, health checks were not owed at all, and a crowded table cut connections whose first request was not read yet. A caller that only shut its writing end gets an answer to all it asked. - transport/server.go: closing the listener reset connections that the system had accepted; Shut lets them in first. - program/program.go, Drain: connections open near the kill ended with the process, over unread bytes. Phases now: leaving, refusing, closing (half-closed and read to their end). A connection accepted late is told leaving at once. - routing/keys.go: an entry went 0.1 s after its window, so a repeat that arrived within it and was read later ran again; it stays for the longest deadline more. routing/takein.go: a full table refused repeats of what had run; settings that came between reading and taking in could run a keyed class without its key. - routing/core.go, program/announce.go: checks were good and reports said true before anything could run; a report answered with anything but 204 counted, and a service that falls silent while dialled held up the next change by 0.6 s. Tests: transport/crossing_test.go and program/announce_test.go; undoing the look, the state, deaf or Shut fails them (tried one by one).

--- a/program/announce_test.go
+++ b/program/announce_test.go
@@ -3,56 +3,124 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"log/slog"
 	"net"
 	"net/http"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
 )
 
-// TestAnnounceHurries guards changes against reports that get no answer: the next
-// report goes out at once, and to where the service is by then.
-func TestAnnounceHurries(t *testing.T) {
+// registryPeer plays the announce service for an announcer: at addresses that
+// begin with "silent" it takes no connection, elsewhere each report is answered
+// with the status, or not at all for 0.
+type registryPeer struct {
+	*announcer
+	reports chan string // address and body
+	status  func(n int) int
+	n       atomic.Int64 // reports answered
+}
+
+func playAnnounce(t *testing.T, play func(t *testing.T, p *registryPeer)) {
+	t.Helper()
 	synctest.Test(t, func(t *testing.T) {
-		reports := make(chan string, 9)
-		a := newAnnouncer("n1", slog.Default())
-		a.connect = func(address string) (net.Conn, error) {
+		p := &registryPeer{newAnnouncer("n1", slog.Default()), make(chan string, 99), func(int) int { return http.StatusNoContent }, atomic.Int64{}}
+		p.connect = func(ctx context.Context, address string) (net.Conn, error) {
+			if strings.HasPrefix(address, "silent") {
+				<-ctx.Done()
+				return nil, ctx.Err()
+			}
 			near, far := net.Pipe()
-			go func() {
-				defer far.Close()
-				for r := bufio.NewReader(far); ; {
-					req, err := http.ReadRequest(r)
-					if err != nil {
-						return
-					}
-					body, _ := io.ReadAll(req.Body)
-					reports <- address + " " + string(body)
-				}
-			}()
+			go p.serve(far, address)
 			return near, nil
 		}
 		ctx, cancel := context.WithCancel(t.Context())
-		go a.run(ctx, "here")
-		began := time.Now()
-		want := func(address, word string) {
-			t.Helper()
-			if got := <-reports; !strings.HasPrefix(got, address) || !strings.Contains(got, word) {
-				t.Errorf("report %s, want %s at %s", got, word, address)
+		go p.run(ctx, "here")
+		play(t, p)
+		cancel()
+		time.Sleep(time.Minute)
+	})
+}
+
+func (p *registryPeer) serve(far net.Conn, address string) {
+	defer far.Close()
+	for r := bufio.NewReader(far); ; {
+		req, err := http.ReadRequest(r)
+		if err != nil {
+			return
+		}
+		body, _ := io.ReadAll(req.Body)
+		p.reports <- address + " " + string(body)
+		if status := p.status(int(p.n.Add(1) - 1)); status != 0 {
+			fmt.Fprintf(far, "HTTP/1.1 %d x\r\nContent-Length: 0\r\n\r\n", status)
+		}
+	}
+}
+
+// want checks the next report, and that it comes within a time.
+func (p *registryPeer) want(t *testing.T, address, word string, within time.Duration) {
+	t.Helper()
+	began := time.Now()
+	if got := <-p.reports; !strings.HasPrefix(got, address) || !strings.Contains(got, word) {
+		t.Errorf("report %s, want %s at %s", got, word, address)
+	}
+	if took := time.Since(began); took > within {
+		t.Errorf("the report of %s at %s comes after %v, want %v", word, address, took, within)
+	}
+	synctest.Wait()
+}
+
+// TestAnnounceHurries guards changes against reports that get no answer, and
+// against a service that falls silent: the next report goes out at once, and to
+// where the service is by then.
+func TestAnnounceHurries(t *testing.T) {
+	playAnnounce(t, func(t *testing.T, p *registryPeer) {
+		p.status = func(int) int { return 0 }
+		p.Accepting(true)
+		p.want(t, "here", "true", 0)
+		p.Accepting(false)
+		p.want(t, "here", "false", 0)
+		p.move("silent")
+		synctest.Wait()
+		p.move("there")
+		p.want(t, "there", "false", 0)
+	})
+}
+
+// TestAnnounceSaysNothingAtFirst: a server is not called ready, nor is it taken
+// off the list, before it knows that it can serve.
+func TestAnnounceSaysNothingAtFirst(t *testing.T) {
+	playAnnounce(t, func(t *testing.T, p *registryPeer) {
+		time.Sleep(5 * time.Second)
+		p.move("there")
+		time.Sleep(5 * time.Second)
+		if len(p.reports) > 0 {
+			t.Errorf("a report before it can serve: %s", <-p.reports)
+		}
+		p.Accepting(true)
+		p.want(t, "there", "true", 0)
+	})
+}
+
+// TestAnnounceRepeatsWhatDidNotCount: a report that is answered with anything but
+// 204 is made again soon, the sooner the newer the trouble.
+func TestAnnounceRepeatsWhatDidNotCount(t *testing.T) {
+	playAnnounce(t, func(t *testing.T, p *registryPeer) {
+		p.status = func(n int) int {
+			if n < 3 {
+				return http.StatusServiceUnavailable
 			}
-			synctest.Wait()
+			return http.StatusNoContent
 		}
-		want("here", "true")
-		a.Accepting(false)
-		want("here", "false")
-		a.move("there")
-		want("there", "false")
-		if took := time.Since(began); took != 0 {
-			t.Errorf("the changes are reported after %v", took)
+		p.Accepting(false)
+		p.want(t, "here", "false", 0)
+		for wait := retryFirst; wait <= 4*retryFirst; wait *= 2 {
+			p.want(t, "here", "false", wait)
 		}
-		cancel()
-		time.Sleep(time.Minute)
+		p.want(t, "here", "false", reportEvery) // the last one counted
 	})
 }
--- a/program/program.go
+++ b/program/program.go
@@ -30,7 +30,8 @@
 	sweepMost        = 500 * time.Millisecond // likewise
 	leaveAgain       = 100 * time.Millisecond // between two looks whom to take leave of, when another takes over
 	leaveFleetWithin = time.Second            // for giving up what this process owns there
-	exitMargin       = 120 * time.Millisecond // before the kill, when all has been answered
+	closeMargin      = 200 * time.Millisecond // before the kill, when all has been answered and connections end
+	exitMargin       = 80 * time.Millisecond  // before the kill, when the process ends
 	heapShare        = 0.75                   // of the memory is for the heap
 	keysShare        = 8                      // one part in so many of the memory is for kept results
 	frontShare       = 0.625                  // of the descriptors: balancers keep to a half, others don't
@@ -50,6 +51,7 @@
 	crowded()    // connections are getting scarce
 	leave()      // the notice has come: callers are told
 	refuseLate() // the grace is over
+	finish()     // all is answered: connections end
 }
 
 // door is a front with its listener.
@@ -394,9 +396,18 @@
 	}
 }
 
-// Drain follows the notice to leave: callers are told, what comes within the
-// grace is still taken, and it returns when all is answered and the callers
-// have closed their connections, or just before the process is killed.
+// Drain follows the notice to leave, and returns when the process may end. It
+// goes through these phases, each of which begins when the one before is over:
+//
+//	leaving   callers are told; what comes is still taken. For the grace.
+//	refusing  none is let in any more, and what comes over open connections is
+//	          turned away. Until callers have closed them, or all must be answered.
+//	closing   connections are half-closed and read to their end, those first that
+//	          rest. Until the process is about to be killed.
+//
+// Where the listening socket is another's too, none is refused: a refused connection
+// proves that nothing ran, and here it would be let in by nobody. So callers are let
+// in, and turned away, until the last phase.
 func (s *Server) Drain() {
 	defer s.closeHTTP()
 	defer s.leaveFleet()()
@@ -408,7 +419,6 @@
 			return
 		}
 	}
-	defer s.doors[0].server.Close()
 	config := s.config.Load()
 	stopAt := time.Now().Add(config.Stop)
 	s.log.Info("drain", "stop_in", config.Stop.String())
@@ -416,24 +426,29 @@
 	for _, d := range s.doors {
 		d.front.leave()
 	}
-	last, cancel := context.WithDeadline(context.Background(), stopAt.Add(-exitMargin))
-	defer cancel()
+	answered := time.After(time.Until(stopAt.Add(-closeMargin)))
 	select {
 	case <-time.After(config.Settings.DrainGrace):
-	case <-last.Done():
+	case <-answered:
+		answered = time.After(0) // the next phase is over at once
 	}
 	for i, d := range s.doors {
-		// A refused connection proves that nothing ran. Where the socket is another's too,
-		// none is refused: what comes is let in and turned away to the end.
 		if i > 0 || s.handover == nil {
-			d.server.Close()
+			d.server.Shut()
 		}
 		d.front.refuseLate()
 	}
-	for _, d := range s.doors {
+	empty := s.empty()
+	select {
+	case <-empty:
+	case <-answered:
+		for _, d := range s.doors {
+			d.server.Close()
+			d.front.finish()
+		}
 		select {
-		case <-d.server.Empty():
-		case <-last.Done():
+		case <-empty:
+		case <-time.After(time.Until(stopAt.Add(-exitMargin))):
 			s.log.Info("stopped", "connections", "open")
 			return
 		}
@@ -441,6 +456,18 @@
 	s.log.Info("stopped", "connections", "closed")
 }
 
+// empty is closed once no door lets in any more and the last connection has ended.
+func (s *Server) empty() <-chan struct{} {
+	empty := make(chan struct{})
+	go func() {
+		defer close(empty)
+		for _, d := range s.doors {
+			<-d.server.Empty()
+		}
+	}()
+	return empty
+}
+
 // leaveFleet gives up what this process owns in its fleet at once, and gives
 // what waits for that.
 func (s *Server) leaveFleet() (wait func()) {
@@ -480,14 +507,13 @@
 		d.server.Close()
 	}
 	done := make(chan struct{})
+	empty := s.empty()
 	go func() {
 		defer close(done)
-		for _, d := range s.doors {
-			<-d.server.Empty()
-		}
+		<-empty
 		<-settled
 	}()
-	last := time.After(time.Until(stopAt) - exitMargin)
+	answered, last := time.After(time.Until(stopAt.Add(-closeMargin))), time.After(time.Until(stopAt.Add(-exitMargin)))
 	for again := time.Tick(leaveAgain); ; {
 		for _, d := range s.doors {
 			d.front.leave() // also of connections that were let in last
@@ -495,6 +521,11 @@
 		select {
 		case <-again:
 			continue
+		case <-answered:
+			for _, d := range s.doors {
+				d.front.finish()
+			}
+			continue
 		case <-done:
 			s.log.Info("stopped", "connections", "closed")
 		case <-last:
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -6,6 +6,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quincerail.example/quincerail/match"
@@ -30,7 +31,8 @@
 	rules *match.Rules
 	conns registry[*thriftConn]
 
-	newcomers int // since room was made; both belong to the accepting goroutine
+	leaving   atomic.Bool // leave is taken of all, also of those that come now
+	newcomers int         // since room was made; both belong to the accepting goroutine
 	roomMade  time.Time
 }
 
@@ -42,9 +44,12 @@
 
 	last int32 // sequence number; of the connection's goroutine alone
 
+	// What is open is forgotten under the lock under which its answer is sent, so
+	// that the connection never ends between the two.
 	mu      sync.Mutex
 	open    map[string]int32 // sequence number by request id
 	ids     map[int32]string
+	checks  int       // health checks without an answer
 	leaving time.Time // when that was said; zero before
 }
 
@@ -52,11 +57,17 @@
 	return &thriftFront{core: core, rules: rules, conns: newRegistry[*thriftConn]()}
 }
 
-// serve works one connection. Requests still open when it ends have lost their caller.
+// serve works one connection. Requests still open when it ends have lost their
+// caller.
 func (f *thriftFront) serve(c *transport.Conn) {
 	t := &thriftConn{core: f.core, rules: f.rules, conn: c, open: make(map[string]int32), ids: make(map[int32]string)}
 	f.conns.add(t)
+	defer f.conns.remove(t)
+	if f.leaving.Load() { // else leave, which comes after this look, finds it registered
+		t.leave(leaveWithin)
+	}
 	c.ExpectWithin(thriftWithin, t.owes)
+	c.OnEnd(func(error) { t.lose() })
 	c.Serve(func(r *bufio.Reader) error {
 		m, err := thrift.Read(r)
 		if err != nil {
@@ -64,14 +75,20 @@
 		}
 		return t.take(m)
 	})
-	f.conns.remove(t)
+	t.lose() // also where a write failed
+}
+
+// lose gives up what is open as the connection ends. A caller that has only shut
+// its writing end still reads, and is told so.
+func (t *thriftConn) lose() {
 	t.mu.Lock()
-	ids := make([]string, 0, len(t.open))
-	for id := range t.open {
-		ids = append(ids, id)
+	lost := t.open
+	t.open, t.ids = make(map[string]int32), make(map[int32]string)
+	for _, seq := range lost {
+		t.conn.Send(thrift.AppendFault(nil, seq, nil))
 	}
 	t.mu.Unlock()
-	for _, id := range ids {
+	for id := range lost {
 		t.core.Lost(id, t)
 	}
 }
@@ -89,13 +106,24 @@
 			t.conn.Send(thrift.AppendException(nil, m.Name, m.Seq, thrift.ProtocolError, err.Error()))
 		}
 	case m.Name == "check" && m.Type == thrift.Call:
-		t.core.Check(m.Probe, func(good bool) {
+		t.mu.Lock()
+		t.checks++
+		t.mu.Unlock()
+		answer := func(good bool) {
+			t.mu.Lock()
+			defer t.mu.Unlock()
+			t.checks--
 			t.conn.Send(thrift.AppendAnswer(nil, m.Name, m.Seq, thrift.Answer{Good: good}))
-		})
+		}
+		if t.core.Check(m.Probe, answer) != nil { // it has stopped
+			answer(false)
+		}
 	case m.Name == "interrupt" && m.Type == thrift.Oneway:
 		t.mu.Lock()
 		id, ok := t.ids[m.Target]
-		t.close(id, m.Target)
+		if ok {
+			t.close(id, m.Target)
+		}
 		t.mu.Unlock()
 		if ok {
 			t.core.Gone(id, t)
@@ -162,9 +190,9 @@
 // Answer implements routing.Sink.
 func (t *thriftConn) Answer(id string, o routing.Outcome) {
 	t.mu.Lock()
+	defer t.mu.Unlock()
 	seq, ok := t.open[id]
 	t.close(id, seq)
-	t.mu.Unlock()
 	if !ok {
 		return
 	}
@@ -202,18 +230,20 @@
 	if t.leaving.IsZero() {
 		t.leaving = time.Now()
 		t.conn.Send(thrift.AppendLeaving(nil))
-	} else if len(t.open) == 0 && time.Since(t.leaving) > within {
+	} else if !t.owesLocked() && time.Since(t.leaving) > within {
 		t.conn.Retire()
 	}
 }
 
-// owes tells whether a request is open.
+// owes tells whether a request or a health check is open.
 func (t *thriftConn) owes() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.open) > 0
+	return t.owesLocked()
 }
 
+func (t *thriftConn) owesLocked() bool { return len(t.open)+t.checks > 0 }
+
 // left tells whether leave of the connection was taken before.
 func (t *thriftConn) left() bool {
 	t.mu.Lock()
@@ -225,11 +255,17 @@
 func (t *thriftConn) idle(after time.Duration) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	return len(t.open) == 0 && time.Since(t.conn.IdleSince()) > after
+	return !t.owesLocked() && time.Since(t.conn.IdleSince()) > after
+}
+
+// leave takes leave of all connections, those to come included.
+func (f *thriftFront) leave() {
+	f.leaving.Store(true)
+	f.conns.each(func(t *thriftConn) { t.leave(leaveWithin) })
 }
 
-// leave takes leave of all connections.
-func (f *thriftFront) leave() { f.conns.each(func(t *thriftConn) { t.leave(leaveWithin) }) }
+// finish ends all connections, each once nothing is owed on it.
+func (f *thriftFront) finish() { f.conns.each(func(t *thriftConn) { t.conn.Finish() }) }
 
 // refuseLate takes leave also of connections that came since; the module turns
 // away what comes over them.
@@ -259,8 +295,8 @@
 		case t.left():
 			t.leave(crowdedLeave)
 		case !t.conn.Spoken():
-			if t.idle(silentAfter) {
-				t.conn.Cut()
+			if t.idle(silentAfter) { // but for a request that has come and was not read yet
+				t.conn.Finish()
 			}
 		case t.idle(crowdedAfter):
 			idle = append(idle, t)
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -222,6 +222,9 @@
 // leave has nothing to say in this protocol: a connection ends with its answer.
 func (f *uwsgiFront) leave() {}
 
+// finish has nothing to do: a connection ends with its answer, and all have one.
+func (f *uwsgiFront) finish() {}
+
 // refuseLate has what is still unread when the grace of a drain is over turned
 // away: at once by the module, if all of it is on its way, else here.
 func (f *uwsgiFront) refuseLate() {
--- a/routing/core.go
+++ b/routing/core.go
@@ -318,8 +318,8 @@
 	c.report()
 }
 
-// welcome tells whether callers are to come.
-func (c *Core) welcome() bool { return c.fit && !c.away }
+// welcome tells whether callers are to come: not before anything can run here.
+func (c *Core) welcome() bool { return c.module != nil && c.fit && !c.away && !c.draining }
 
 func (c *Core) report() {
 	if c.opt.Presence != nil {
--- a/routing/keys.go
+++ b/routing/keys.go
@@ -37,6 +37,7 @@
 	bytes   int
 	most    int // 0 for no bound
 	swept   time.Duration
+	late    time.Duration // how long after its arrival a try may still be taken in
 }
 
 func newKeyTable(most int) *keyTable {
@@ -183,14 +184,15 @@
 	t.bytes -= entryBytes
 }
 
-// expire lets go of entries whose window is over and that no try holds.
+// expire lets go of entries that no try holds and whose window is over for all
+// tries: one that arrived within it may be read later, as long as its time lasts.
 func (t *keyTable) expire(now time.Duration) {
 	if now < t.swept+expireEvery {
 		return
 	}
 	t.swept = now
 	for _, e := range t.entries {
-		if e.live == 0 && now >= e.till {
+		if e.live == 0 && now >= e.till+t.late {
 			t.remove(e)
 		}
 	}
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -52,12 +52,11 @@
 	if !ok {
 		return fmt.Errorf("class %q is not known", r.Class)
 	}
-	if keyed := tuned.classes[class].Effect == decision.Keyed; keyed && r.Key == "" {
+	keyed := tuned.classes[class].Effect == decision.Keyed
+	if keyed && r.Key == "" {
 		return fmt.Errorf("class %q needs a key", r.Class)
-	} else if !keyed {
-		r.Key = ""
 	}
-	if len(r.Key) > maxKey {
+	if keyed && len(r.Key) > maxKey {
 		return fmt.Errorf("a key of %d bytes, %d at most", len(r.Key), maxKey)
 	}
 	if r.ID == "" || !(r.HeldKB > 0) {
@@ -71,7 +70,16 @@
 		r.Sink.Answer(r.ID, Outcome{Kind: Rejected})
 		return
 	}
-	a := &attempt{Request: r, class: class, kind: c.set.Classes[class], door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
+	// New settings may have come since it was handed in: it comes under those in force
+	// now, and under its old ones where its class is there no more.
+	kind := c.set.Classes[class]
+	if kind.Effect != decision.Keyed {
+		r.Key = ""
+	} else if r.Key == "" || len(r.Key) > maxKey {
+		r.Sink.Answer(r.ID, Outcome{Kind: Rejected})
+		return
+	}
+	a := &attempt{Request: r, class: class, kind: kind, door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
 	// A caller's clock ahead of ours can't have made it come after now.
 	a.door = min(a.door, c.now)
 	a.due = a.door + a.kind.Deadline
@@ -89,15 +97,17 @@
 		c.book(a, Outcome{Kind: TimedOut})
 		return
 	}
-	if c.module == nil { // nothing can run yet, or ever
-		c.book(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
+	e := c.keys.entries[a.Key]
+	switch {
+	case c.module == nil && e != nil && e.ranFor(a.door): // another process told of its run
+		c.book(a, c.failure(a))
 		return
-	}
-	if a.Key != "" && c.keys.full() { // it could run, but not be kept from running again
+	case c.module == nil, // nothing can run yet, or ever
+		a.Key != "" && e == nil && c.keys.full(): // it could run, but not be kept from running again
 		c.book(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
 		return
 	}
-	if a.Key != "" && c.keys.entries[a.Key] == nil && c.now < time.Duration(c.opt.InDoubtUntil.UnixNano()) {
+	if a.Key != "" && e == nil && c.now < time.Duration(c.opt.InDoubtUntil.UnixNano()) {
 		c.book(a, c.failure(a)) // a lost record may have told of its run
 		return
 	}
--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -73,6 +73,9 @@
 		return fmt.Errorf("settings: %w", err)
 	}
 	c.set = s
+	for _, class := range s.Classes {
+		c.keys.late = max(c.keys.late, class.Deadline)
+	}
 	c.tuned.Store(t)
 	return nil
 }
--- /dev/null
+++ b/transport/crossing_test.go
@@ -0,0 +1,323 @@
+package transport
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+)
+
+// gated is a socket at which the test stands between a connection and the system:
+// reads wait for leave, and what is called is told.
+type gated struct {
+	*net.TCPConn
+	leave  chan struct{} // closed: reads go on
+	seen   chan struct{} // something was read
+	closed chan struct{}
+	once   sync.Once
+}
+
+// Read implements net.Conn.
+func (g *gated) Read(p []byte) (int, error) {
+	<-g.leave
+	n, err := g.TCPConn.Read(p)
+	if n > 0 {
+		select {
+		case g.seen <- struct{}{}:
+		default: // nobody looks
+		}
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (g *gated) Close() error {
+	g.once.Do(func() { close(g.closed) })
+	return g.TCPConn.Close()
+}
+
+// sockets gives a connection on a real socket, behind a gate, and its peer. A
+// message is frame bytes; answer, where not nil, is called for each.
+func sockets(t *testing.T, answer func(c *Conn, m string)) (g *gated, c *Conn, far *net.TCPConn, serve func() (ended chan error)) {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	nc, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	near, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	far = nc.(*net.TCPConn)
+	g = &gated{TCPConn: near.(*net.TCPConn), leave: make(chan struct{}), seen: make(chan struct{}, 1), closed: make(chan struct{})}
+	c = NewConn(g)
+	c.drain = time.Minute // the tests end it
+	t.Cleanup(func() { far.Close(); near.Close() })
+	return g, c, far, func() chan error {
+		ended := make(chan error, 1)
+		go func() {
+			ended <- c.Serve(func(r *bufio.Reader) error {
+				b, err := r.Peek(frame)
+				if err != nil {
+					return err
+				}
+				m := string(b)
+				r.Discard(frame)
+				if m == "bad" {
+					return errBad
+				}
+				if answer != nil {
+					answer(c, m)
+				}
+				return nil
+			})
+		}()
+		return ended
+	}
+}
+
+var errBad = errors.New("no message")
+
+func write(t *testing.T, nc net.Conn, s string) {
+	t.Helper()
+	if _, err := io.WriteString(nc, s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// read reads what is wanted, then the end where eof says so.
+func read(t *testing.T, nc net.Conn, want string, eof bool) {
+	t.Helper()
+	nc.SetReadDeadline(time.Now().Add(20 * time.Second))
+	b := make([]byte, len(want))
+	if _, err := io.ReadFull(nc, b); err != nil || string(b) != want {
+		t.Fatalf("read %q, %v, want %q", b, err, want)
+	}
+	if eof {
+		if n, err := nc.Read(make([]byte, 1)); err != io.EOF {
+			t.Fatalf("read %d bytes, %v, want the end", n, err)
+		}
+	}
+}
+
+// TestEndCrossesMessage: a message arrives on a resting connection at the moment
+// at which that is to end, before it is read. It is taken and answered. Retire goes
+// on with the connection then, Finish ends it.
+func TestEndCrossesMessage(t *testing.T) {
+	for name, end := range map[string]func(*Conn){"retire": (*Conn).Retire, "finish": (*Conn).Finish} {
+		t.Run(name, func(t *testing.T) {
+			g, c, far, serve := sockets(t, func(c *Conn, m string) { c.Send([]byte("re " + m)) })
+			ended := serve() // its read stands at the gate
+			write(t, far, "one")
+			end(c)
+			close(g.leave)
+			read(t, far, "re one", name == "finish")
+			if name == "retire" {
+				write(t, far, "two")
+				read(t, far, "re two", false)
+				c.Retire() // now it rests
+				read(t, far, "", true)
+			}
+			far.Close()
+			if err := <-ended; err != nil {
+				t.Errorf("it ends with %v", err)
+			}
+		})
+	}
+}
+
+// TestEndCrossesHalfMessage: half a message has come. Retire leaves it its time;
+// Finish does not, and a close over the rest of it takes no answer along.
+func TestEndCrossesHalfMessage(t *testing.T) {
+	g, c, far, serve := sockets(t, func(c *Conn, m string) { c.Send([]byte("re " + m)) })
+	ended := serve()
+	write(t, far, "oneha")
+	c.Retire()
+	close(g.leave)
+	read(t, far, "re one", false)
+	write(t, far, "ltw")
+	read(t, far, "re hal", false)
+	c.Finish()
+	read(t, far, "", true)
+	write(t, far, "o and more that nobody takes")
+	far.CloseWrite()
+	if err := <-ended; err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+}
+
+// TestDrainIsNotCutShort: what the peer still sends after the half-close is read to
+// its end, whoever wakes or ends the connection once more meanwhile. A close over
+// what is unread would reset it, and the last answer with it.
+func TestDrainIsNotCutShort(t *testing.T) {
+	g, c, far, serve := sockets(t, nil)
+	close(g.leave)
+	ended := serve()
+	c.Send([]byte("last"))
+	c.Close()
+	read(t, far, "last", true)
+	for _, again := range []func(*Conn){(*Conn).Close, (*Conn).Wake, (*Conn).Retire, (*Conn).Finish} {
+		again(c)
+		write(t, far, "unread")
+		select {
+		case <-g.seen:
+		case <-g.closed:
+			t.Fatal("it closes before its peer has")
+		}
+	}
+	c.SetReadDeadline(time.Unix(1, 0))
+	write(t, far, "unread") // over a connection that was reset it would fail
+	far.CloseWrite()
+	if err := <-ended; err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+	<-g.closed
+	read(t, far, "", true)
+}
+
+// TestBadMessageKeepsOthersAnswers: after bytes that make no sense nothing more is
+// taken, but what was asked before is answered, and then the connection ends.
+func TestBadMessageKeepsOthersAnswers(t *testing.T) {
+	var mu sync.Mutex
+	var taken []string
+	g, c, far, serve := sockets(t, func(_ *Conn, m string) {
+		mu.Lock()
+		defer mu.Unlock()
+		taken = append(taken, m)
+	})
+	owes, asked := true, make(chan struct{}, 99)
+	c.ExpectWithin(time.Minute, func() bool {
+		mu.Lock()
+		defer mu.Unlock()
+		asked <- struct{}{}
+		return owes
+	})
+	close(g.leave)
+	ended, got := serve(), make(chan []byte, 1)
+	go func() {
+		b, _ := io.ReadAll(far)
+		got <- b
+	}()
+	write(t, far, "onebadtwo")
+	select {
+	case <-asked:
+	case b := <-got:
+		t.Fatalf("it ends with %q before it has answered", b)
+	}
+	mu.Lock()
+	c.Send([]byte("re one"))
+	owes = false
+	mu.Unlock()
+	if b := <-got; string(b) != "re one" {
+		t.Errorf("read %q", b)
+	}
+	far.Close()
+	if err := <-ended; !errors.Is(err, errBad) {
+		t.Errorf("it ends with %v", err)
+	}
+	if !slices.Equal(taken, []string{"one"}) {
+		t.Errorf("taken %v", taken)
+	}
+}
+
+// TestPeerHalfCloses: a peer that shuts its writing end has what it is owed sent by
+// OnEnd, in answer to nothing that came later.
+func TestPeerHalfCloses(t *testing.T) {
+	g, c, far, serve := sockets(t, nil)
+	c.OnEnd(func(why error) {
+		if !errors.Is(why, io.EOF) {
+			t.Errorf("it ends for %v", why)
+		}
+		c.Send([]byte("given up"))
+	})
+	close(g.leave)
+	ended := serve()
+	write(t, far, "one")
+	far.CloseWrite()
+	read(t, far, "given up", true)
+	if err := <-ended; !errors.Is(err, io.EOF) {
+		t.Errorf("it ends with %v", err)
+	}
+	if c.Send([]byte("late")) {
+		t.Error("a connection that has ended takes more")
+	}
+}
+
+// waitingRoom is a listener at which connections wait until its server shuts; it
+// holds so many.
+type waitingRoom struct {
+	*net.TCPListener
+	open     chan struct{} // closed when the server first looks
+	once     sync.Once
+	shutting chan struct{}
+	left     int
+}
+
+// Accept implements net.Listener.
+func (w *waitingRoom) Accept() (net.Conn, error) {
+	w.once.Do(func() { close(w.open) })
+	<-w.shutting
+	if w.left == 0 {
+		return nil, os.ErrDeadlineExceeded
+	}
+	w.left--
+	return w.TCPListener.Accept()
+}
+
+// SetDeadline is called by a server that shuts.
+func (w *waitingRoom) SetDeadline(time.Time) error {
+	close(w.shutting)
+	return nil
+}
+
+// TestShutTakesThoseThatWait: connections that the system has accepted are let in
+// before the listener closes: closed with it, they would be reset with all that
+// was written to them.
+func TestShutTakesThoseThatWait(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	const waiting = 3
+	room := &waitingRoom{TCPListener: l.(*net.TCPListener), open: make(chan struct{}), shutting: make(chan struct{}), left: waiting}
+	s := NewServer(room, 9, func(c *Conn) {
+		c.Serve(func(r *bufio.Reader) error {
+			b, err := r.Peek(frame)
+			if err == nil {
+				c.Send(append([]byte("re "), b...))
+				r.Discard(frame)
+			}
+			return err
+		})
+	}, func() {})
+	running := make(chan struct{})
+	go func() { s.Run(); close(running) }()
+	var conns []net.Conn
+	for range waiting {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		write(t, nc, "one")
+		conns = append(conns, nc)
+	}
+	<-room.open
+	s.Shut()
+	<-running
+	for _, nc := range conns {
+		read(t, nc, "re one", false)
+		nc.Close()
+	}
+	<-s.Empty()
+}
--- a/transport/server.go
+++ b/transport/server.go
@@ -16,12 +16,18 @@
 	serve    func(*Conn)
 	crowded  func()
 
-	mu    sync.Mutex
-	open  int
-	empty chan struct{} // closed when no connection is open after Close
-	shut  bool
+	mu      sync.Mutex
+	open    int
+	empty   chan struct{} // closed when no connection is open after Close
+	shut    bool
+	running chan struct{} // closed when Run returns; nil before it runs
 }
 
+// lastAccepts is how long a server that shuts takes in what the system has accepted
+// already: a caller that finds its connection reset there does not know what became
+// of its request.
+const lastAccepts = 20 * time.Millisecond
+
 // crowdedShare is the part of the limit from which on room is asked for.
 const crowdedShare = 0.75
 
@@ -58,11 +64,16 @@
 // Addr is the address that is listened on.
 func (s *Server) Addr() net.Addr { return s.listener.Addr() }
 
-// Run accepts until Close.
+// Run accepts until Close or Shut.
 func (s *Server) Run() error {
+	done := make(chan struct{})
+	defer close(done)
+	s.mu.Lock()
+	s.running = done
+	s.mu.Unlock()
 	for {
 		nc, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) {
+		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
 			return nil
 		}
 		if err != nil { // descriptors ran out, say: what is open goes on
@@ -108,7 +119,21 @@
 	}
 }
 
-// Close stops accepting. Open connections go on.
+// Shut stops accepting once all is taken in that had connected before, and
+// returns then. Open connections go on. Where others hold the socket too, Close
+// leaves to them what waits there.
+func (s *Server) Shut() {
+	s.mu.Lock()
+	running := s.running
+	s.mu.Unlock()
+	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok && running != nil &&
+		l.SetDeadline(time.Now().Add(lastAccepts)) == nil {
+		<-running
+	}
+	s.Close()
+}
+
+// Close stops accepting at once. Open connections go on.
 func (s *Server) Close() {
 	s.listener.Close()
 	s.mu.Lock()
