Force the crossings at shutdown, closes and floods on real sockets; let no flood cut requests

One more is accepted now and waits until another ends, the others wait in the system's queue; room is asked for again meanwhile. Now what comes in parts is as late as its last part can be proven to be (transport CameAfter, routing.Request.After); TestHalfMessagesInADrain. - deploy/balancer.toml, run: a SIGHUP before the program asked for it ended it.

--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -47,6 +47,7 @@
 	args      []string
 	socket    *os.File // inherited, or nil
 	shared    string
+	shell     string // the command that starts it; "" for the binary by itself
 }
 
 func must[T any](t *testing.T, v T, err error) T {
@@ -165,6 +166,9 @@
 	t.Helper()
 	n.exited = make(chan error, 1)
 	n.cmd = exec.Command(binary, n.args...)
+	if n.shell != "" {
+		n.cmd = exec.Command("/bin/sh", append([]string{"-c", n.shell, "sh"}, n.args...)...)
+	}
 	n.cmd.Env = append(os.Environ(), "GW_CONFIG="+n.config)
 	if n.socket != nil {
 		n.cmd.Args, n.cmd.ExtraFiles = n.cmd.Args[:1], []*os.File{n.socket}
@@ -189,9 +193,12 @@
 				}
 			}
 		}
+		close(addresses)
 		exited <- cmd.Wait()
 	}()
-	if n.thrift, n.uwsgi = <-addresses, <-addresses; n.socket != nil { // the call's address comes first
+	if n.thrift, n.uwsgi = <-addresses, <-addresses; n.uwsgi == "" {
+		t.Fatalf("it ended before it listened: %v", <-exited)
+	} else if n.socket != nil { // the call's address comes first
 		n.thrift, n.control = n.uwsgi, n.thrift
 	}
 	<-n.processor.Up()
@@ -319,6 +326,57 @@
 	}
 }
 
+// TestSignalBeforeItListens sends SIGHUP before the program can have asked for it, by
+// the shell that is about to be it: the deploy file's command has it ignored, as the
+// configuration is not read yet, and later ones are taken.
+func TestSignalBeforeItListens(t *testing.T) {
+	n := start(t)
+	n.cmd.Process.Kill()
+	<-n.exited
+	text, err := os.ReadFile(filepath.Join("..", "..", "deploy", "balancer.toml"))
+	run := regexp.MustCompile(`(?m)^run = "(.*)exec bin/quincerail"$`).FindStringSubmatch(string(must(t, text, err)))
+	if run == nil {
+		t.Fatal("the deploy file's run does not end by exec")
+	}
+	n.shell = fmt.Sprintf(`%skill -HUP $$; exec %q "$@"`, run[1], binary)
+	n.launch(t)
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGHUP))
+	if line := <-n.reloads; !strings.Contains(line, "event=reloaded") {
+		t.Errorf("SIGHUP at work: %s", line)
+	}
+	must(t, 0, n.cmd.Process.Signal(syscall.SIGTERM))
+	if err := <-n.exited; err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+}
+
+// TestSignalsInADrain sends further signals, of each kind, at a process that drains
+// with a gift running: it is answered and the process ends in order, by itself.
+func TestSignalsInADrain(t *testing.T) {
+	n, try := startRun(t)
+	signals := []os.Signal{syscall.SIGTERM, syscall.SIGTERM, syscall.SIGHUP, os.Interrupt, syscall.SIGHUP, syscall.SIGTERM}
+	for _, s := range signals {
+		must(t, 0, n.cmd.Process.Signal(s))
+	}
+	for report := range n.announce.Reports {
+		if strings.Contains(report, "false") {
+			break
+		}
+	}
+	for _, s := range signals {
+		must(t, 0, n.cmd.Process.Signal(s))
+	}
+	if line := <-n.reloads; !strings.Contains(line, "event=reloaded") {
+		t.Errorf("SIGHUP in the drain: %s", line)
+	}
+	if o, err := try.Outcome(); err != nil || o.Body != "done: gift" || n.work.Runs("gift") != 1 {
+		t.Errorf("what ran: %v, %v, %d runs", o, err, n.work.Runs("gift"))
+	}
+	if err := <-n.exited; err != nil {
+		t.Errorf("it ends with %v", err)
+	}
+}
+
 // TestLinkBreak breaks the processor's link while work runs: its end is told
 // over the next link, once.
 func TestLinkBreak(t *testing.T) {
--- /dev/null
+++ b/program/crossing_test.go
@@ -0,0 +1,284 @@
+package program_test
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"quincerail.example/quincerail/internal/standin"
+	"quincerail.example/quincerail/program"
+)
+
+// balancer is a balancer's connection that asks and reads at will.
+type balancer struct {
+	t testing.TB
+	*net.TCPConn
+	r   *bufio.Reader
+	seq int32
+}
+
+func (w *world) balancer(t testing.TB) *balancer {
+	t.Helper()
+	nc := must(net.Dial("tcp", w.Addr().String()))(t)
+	t.Cleanup(func() { nc.Close() })
+	nc.SetReadDeadline(time.Now().Add(20 * time.Second))
+	return &balancer{t, nc.(*net.TCPConn), bufio.NewReader(nc), 0}
+}
+
+// request gives the next call of execute.
+func (b *balancer) request(class, key, body string) []byte {
+	b.seq++
+	fields := map[string]string{"verb": class, "txn": standin.NewID(), "lb": "1", "ram": "20", "standing": "0.5"}
+	if key != "" {
+		fields["unique"] = key
+	}
+	return standin.AppendExecute(nil, b.seq, fields, []byte(body))
+}
+
+func (b *balancer) write(p []byte) {
+	b.t.Helper()
+	if _, err := b.Write(p); err != nil {
+		b.t.Fatal(err)
+	}
+}
+
+func (b *balancer) ask(class, key, body string) { b.t.Helper(); b.write(b.request(class, key, body)) }
+
+// replies reads so many replies of execute, and leaves out what else comes.
+func (b *balancer) replies(n int) (kinds map[int32]string) {
+	b.t.Helper()
+	kinds = make(map[int32]string)
+	for len(kinds) < n {
+		reply, err := standin.ReadReply(b.r)
+		if err != nil {
+			b.t.Fatalf("%v after %v, %d replies wanted", err, kinds, n)
+		}
+		if reply.Name == "execute" {
+			if kinds[reply.Seq] != "" {
+				b.t.Errorf("request %d has two answers", reply.Seq)
+			}
+			kinds[reply.Seq] = reply.Outcome().Kind
+		}
+	}
+	return kinds
+}
+
+// leaving reads up to the message of that name.
+func (b *balancer) leaving() {
+	b.t.Helper()
+	if reply, err := standin.ReadReply(b.r); err != nil || reply.Name != "leaving" {
+		b.t.Errorf("%+v, %v, leaving wanted", reply, err)
+	}
+}
+
+// end reads to the end of the connection: no answer, and no reset.
+func (b *balancer) end() {
+	b.t.Helper()
+	for {
+		reply, err := standin.ReadReply(b.r)
+		if errors.Is(err, io.EOF) {
+			return
+		}
+		if err != nil || reply.Name == "execute" {
+			b.t.Fatalf("%+v, %v, the end wanted", reply, err)
+		}
+	}
+}
+
+// oneAtATime has one run at work, what else comes waits in the queue.
+func oneAtATime(c *program.Config) {
+	c.Settings.Cores, c.Settings.FallMultiple = 1, 1
+	c.Settings.DrainGrace, c.Stop = 300*time.Millisecond, 1500*time.Millisecond
+}
+
+// TestDrainAnswersAllThatIsRead: at SIGTERM one request runs or waits on its call,
+// and others wait in the queue. Each has its one answer before the process
+// is to be stopped, and the connection, which its balancer never ends, is ended in
+// order.
+func TestDrainAnswersAllThatIsRead(t *testing.T) {
+	for _, body := range []string{"hang on", "call hold"} {
+		for _, class := range []string{"kampanjsida", "ny-gava"} {
+			t.Run(body+" "+class, func(t *testing.T) {
+				t.Parallel()
+				w := newWorld(t, oneAtATime)
+				b := w.balancer(t)
+				b.ask(class, "k", body)
+				<-w.work.Begun()
+				if body == "call hold" {
+					<-w.ledger.Calls
+				}
+				for range 3 {
+					b.ask("kampanjsida", "", "queued")
+				}
+				b.write(standin.AppendCheck(nil, b.seq+1, false)) // all are read once it is answered
+				for reply := (standin.Reply{}); reply.Name != "check"; {
+					reply = must(standin.ReadReply(b.r))(t)
+				}
+				began := time.Now()
+				w.start()
+				got := b.replies(4)
+				b.end()
+				<-w.drained
+				if took := time.Since(began); took > 1500*time.Millisecond {
+					t.Errorf("answered and ended after %v", took)
+				}
+				if class == "ny-gava" && got[1] != "failed" {
+					t.Errorf("a gift that ran is %s", got[1])
+				}
+			})
+		}
+	}
+}
+
+// TestHalfMessagesInADrain: half a frame has come at SIGTERM. One whose rest comes
+// in the grace is served, one whose rest comes later is turned away and never runs,
+// and one whose rest never comes is ended.
+func TestHalfMessagesInADrain(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, shortGrace)
+	halves := make(map[string][]byte)
+	conns := make(map[string]*balancer)
+	for _, name := range []string{"early", "late", "never"} {
+		b := w.balancer(t)
+		m := b.request("ny-gava", name, name)
+		b.write(m[:len(m)/2])
+		conns[name], halves[name] = b, m[len(m)/2:]
+	}
+	w.start()
+	for _, b := range conns {
+		b.leaving()
+	}
+	conns["early"].write(halves["early"])
+	if got := conns["early"].replies(1)[1]; got != "served" {
+		t.Errorf("early: %s", got)
+	}
+	w.waitClosed(t)
+	if _, err := conns["late"].Write(halves["late"]); err == nil {
+		reply, err := standin.ReadReply(conns["late"].r)
+		if err == nil && reply.Outcome().Kind != "refused" || err != nil && !errors.Is(err, io.EOF) {
+			t.Errorf("late: %+v, %v", reply, err)
+		}
+	}
+	conns["never"].end()
+	<-w.drained
+	if n := w.work.Runs("late"); n > 0 {
+		t.Errorf("what came whole after the grace ran %d times", n)
+	}
+}
+
+// TestLateConnection: a balancer that connects in a drain is told leaving before
+// anything else, is served within the grace, and is ended though it never ends by
+// itself.
+func TestLateConnection(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, shortGrace)
+	resting := w.balancer(t)
+	resting.ask("kampanjsida", "", "before")
+	resting.replies(1)
+	w.start()
+	resting.leaving()
+	late := w.balancer(t)
+	late.leaving()
+	late.ask("kampanjsida", "", "late")
+	if got := late.replies(1)[1]; got != "served" {
+		t.Errorf("in the grace: %s", got)
+	}
+	resting.end()
+	late.end()
+	<-w.drained
+}
+
+// TestFloodInADrain: while the process drains, callers that say nothing and
+// requests come in numbers. All that is asked is answered once, the process ends in
+// time.
+func TestFloodInADrain(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, func(c *program.Config) {
+		shortGrace(c)
+		c.Sockets = 64
+	})
+	w.start()
+	b := w.balancer(t)
+	b.leaving()
+	b.ask("kampanjsida", "", "hang on") // while it is owed an answer, its connection is not taken leave of
+	<-w.work.Begun()
+	hanging := b.seq
+	var silent []net.Conn
+	for i := range 100 {
+		if nc, err := net.Dial("tcp", w.Addr().String()); err == nil {
+			silent = append(silent, nc)
+		}
+		if i%5 == 0 {
+			b.ask("kampanjsida", "", fmt.Sprint("page ", i))
+		}
+	}
+	b.write(standin.AppendInterrupt(nil, hanging))
+	b.replies(20)
+	b.end()
+	for _, nc := range silent {
+		nc.Close()
+	}
+	<-w.drained
+}
+
+// TestSpoiltFrameKeepsOthers: a frame that makes no sense ends its connection, but
+// what was asked on it before is answered first, and other connections go on.
+func TestSpoiltFrameKeepsOthers(t *testing.T) {
+	for name, spoilt := range map[string][]byte{
+		"no message":   append([]byte{0, 0, 0, 8}, "rubbish!"...),
+		"oversized":    {0x7f, 0, 0, 0},
+		"wrong number": standin.AppendCheck(nil, 99, false),
+	} {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, nil)
+			w.work.Took = 100 * time.Millisecond
+			b, other := w.balancer(t), w.balancer(t)
+			b.ask("kampanjsida", "", "one")
+			<-w.work.Begun()
+			b.write(append(append([]byte{}, spoilt...), b.request("kampanjsida", "", "after")...))
+			other.ask("kampanjsida", "", "other")
+			if got := b.replies(1)[1]; got != "served" {
+				t.Errorf("what was asked before: %s", got)
+			}
+			b.end()
+			if got := other.replies(1)[1]; got != "served" || w.work.Runs("after") > 0 {
+				t.Errorf("the other's: %s; after the frame %d runs", got, w.work.Runs("after"))
+			}
+		})
+	}
+}
+
+// TestCallerHalfCloses: a balancer that shuts its writing end with requests open
+// still gets one answer to each.
+func TestCallerHalfCloses(t *testing.T) {
+	w := newWorld(t, nil)
+	b := w.balancer(t)
+	b.ask("kampanjsida", "", "hang on")
+	<-w.work.Begun()
+	b.CloseWrite()
+	if got := b.replies(1)[1]; got != "failed" {
+		t.Errorf("it is %s", got)
+	}
+	b.end()
+	<-w.work.Stopped()
+}
+
+// TestAnswersCutByTheirCaller: a caller that resets its connection under its answers
+// harms no other, and a keyed run goes on for its repeat.
+func TestAnswersCutByTheirCaller(t *testing.T) {
+	w := newWorld(t, nil)
+	w.work.Took = 100 * time.Millisecond
+	b, other := w.balancer(t), w.balancer(t)
+	b.ask("ny-gava", "k", "gift")
+	<-w.work.Begun()
+	b.SetLinger(0) // its close is a reset
+	b.Close()
+	other.ask("ny-gava", "k", "gift")
+	if got := other.replies(1)[1]; got != "served" || w.work.Runs("gift") != 1 {
+		t.Errorf("the repeat is %s, %d runs", got, w.work.Runs("gift"))
+	}
+}
--- a/program/suite_test.go
+++ b/program/suite_test.go
@@ -83,6 +83,7 @@
 	}
 	w.Server = must(program.Start(c, u))(t)
 	t.Cleanup(func() {
+		w.Kill()
 		w.processor.Close()
 		w.ledger.Close()
 		w.announce.Close()
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -177,7 +177,7 @@
 		}
 	}
 	err = t.core.Submit(routing.Request{ID: id, Class: class, Key: key, Item: m.Fields["item"],
-		Door: time.UnixMilli(door), Caller: caller, HeldKB: ram, Rank: rank,
+		Door: time.UnixMilli(door), After: t.conn.CameAfter(), Caller: caller, HeldKB: ram, Rank: rank,
 		Payload: routing.Payload{Body: m.Body}, Sink: t})
 	if err != nil {
 		t.mu.Lock()
@@ -267,9 +267,9 @@
 // finish ends all connections, each once nothing is owed on it.
 func (f *thriftFront) finish() { f.conns.each(func(t *thriftConn) { t.conn.Finish() }) }
 
-// refuseLate takes leave also of connections that came since; the module turns
-// away what comes over them.
-func (f *thriftFront) refuseLate() { f.leave() }
+// refuseLate notes what has come of messages that are half read when the grace is
+// over; the module turns away what comes over open connections from here on.
+func (f *thriftFront) refuseLate() { f.conns.each(func(t *thriftConn) { t.conn.Note() }) }
 
 // leaveIdle takes leave of connections that have idled for a time, and goes on
 // with the leave that was taken before.
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -23,9 +23,9 @@
 	}
 	r := decision.Request{
 		ID: a.ID, Class: a.class, Key: a.Item, HeldKB: a.HeldKB, Rank: a.Rank, From: a.Caller,
-		Write: a.kind.Effect != decision.Safe, Waited: c.now - a.door, Earlier: earlier,
+		Write: a.kind.Effect != decision.Safe, Waited: c.now - a.came, Earlier: earlier,
 	}
-	if a.due < a.door+a.kind.Deadline { // the caller said that it waits less
+	if a.due != a.came+a.kind.Deadline { // the caller said that it waits less, or its time began before
 		r.Due = a.due
 	}
 	c.module.Request(c.now, r)
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -19,6 +19,7 @@
 	class    int
 	kind     decision.Class // as it was when the request came
 	door     time.Duration
+	came     time.Duration // its last byte, as far as is known; the door at the earliest
 	due      time.Duration
 	backend  Backend
 	answered bool   // it has its one answer, or none is owed
@@ -82,6 +83,9 @@
 	a := &attempt{Request: r, class: class, kind: kind, door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
 	// A caller's clock ahead of ours can't have made it come after now.
 	a.door = min(a.door, c.now)
+	if a.came = a.door; !r.After.IsZero() { // by its parts it may have come after the grace of a drain
+		a.came = min(max(a.door, time.Duration(r.After.UnixNano())), c.now)
+	}
 	a.due = a.door + a.kind.Deadline
 	if told := time.Duration(r.Due.UnixNano()); !r.Due.IsZero() && told < a.due {
 		a.due = told
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -50,6 +50,7 @@
 
 const (
 	goOn   want = iota
+	note        // note what has come by now
 	retire      // end, unless a part of a message has come
 	finish      // take what has come whole by now and nothing more; end once nothing is owed
 	end         // end once what is queued is written
@@ -82,16 +83,30 @@
 	nc     net.Conn
 	nowait bool  // only what has come is read
 	err    error // by which the stream ended
+
+	halfRead func() bool // a part of a message was read before
+	readAt   time.Time   // when the last read gave something, or found nothing
+	partAt   time.Time   // the part that was there then was no whole message; zero for a message that came in one
 }
 
 // Read implements io.Reader. Without waiting, a read that finds nothing fails with
 // os.ErrDeadlineExceeded, as an interrupted one does.
 func (s *source) Read(p []byte) (n int, err error) {
+	part := s.halfRead()
 	if s.nowait {
 		n, err = readNow(s.nc, p)
 	} else {
 		n, err = s.nc.Read(p)
 	}
+	if n == 0 && s.nowait && errors.Is(err, os.ErrDeadlineExceeded) { // all was read that had come
+		s.readAt = time.Now()
+	}
+	if n > 0 {
+		if part {
+			s.partAt = s.readAt
+		}
+		s.readAt = time.Now()
+	}
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		s.err = err
 	}
@@ -133,7 +148,9 @@
 // NewConn wraps a network connection. Serve must be called to work it.
 func NewConn(nc net.Conn) *Conn {
 	src := &source{nc: nc}
-	return &Conn{nc: nc, src: src, r: bufio.NewReaderSize(src, readBuffer), last: time.Now(), drain: drainFor}
+	c := &Conn{nc: nc, src: src, r: bufio.NewReaderSize(src, readBuffer), last: time.Now(), drain: drainFor}
+	src.halfRead = func() bool { return c.r.Buffered() > 0 }
+	return c
 }
 
 // Send queues bytes to be written. It never blocks; it reports false if the
@@ -166,6 +183,10 @@
 // Close ends the connection once all that is queued is written.
 func (c *Conn) Close() { c.ask(end) }
 
+// Note has what has come by now read: of a message that is not whole then, CameAfter
+// tells it.
+func (c *Conn) Note() { c.ask(note) }
+
 // Retire ends the connection if no part of a message has come. One that has come
 // but was not read yet is taken, and the connection goes on, as it does with a
 // message that was half read.
@@ -222,6 +243,11 @@
 	c.nc.Close() // also ends a write that the peer's full window blocks
 }
 
+// CameAfter tells, within a step, a time after which the last byte of the message
+// came that the step has read: all that had come by then was no whole one. It is
+// zero where the message came in one piece.
+func (c *Conn) CameAfter() time.Time { return c.src.partAt }
+
 // IdleSince tells when a message was last read or queued.
 func (c *Conn) IdleSince() time.Time {
 	c.mu.Lock()
@@ -289,7 +315,7 @@
 func (c *Conn) settle(halfRead bool) (noMore bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.want == retire && halfRead {
+	if c.want == note || c.want == retire && halfRead {
 		c.want = goOn
 	}
 	return c.want == retire || c.want == finish
@@ -352,7 +378,7 @@
 func (c *Conn) taken() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.last, c.spoken = time.Now(), true
+	c.last, c.spoken, c.src.partAt = time.Now(), true, time.Time{}
 	if c.want == retire {
 		c.want = goOn
 	}
--- a/transport/conn_test.go
+++ b/transport/conn_test.go
@@ -8,6 +8,7 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -219,46 +220,74 @@
 	}
 }
 
-// TestServer sees that connections over the limit are closed, and that Empty
-// tells when a closed server's last one has ended.
+// TestServer sees that a connection over the limit waits until another ends, and is
+// served then with what it wrote; that the one that waits as the server closes is let
+// in; and that Empty tells when a closed server's last one has ended.
 func TestServer(t *testing.T) {
-	serving, crowded := make(chan *Conn), make(chan struct{}, 3)
+	serving, crowded := make(chan *Conn), make(chan struct{}, 1)
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
+	var open, most atomic.Int32
 	s := NewServer(l, 1, func(c *Conn) {
+		most.Store(max(most.Load(), open.Add(1)))
+		defer open.Add(-1)
 		serving <- c
-		c.Serve(func(r *bufio.Reader) error { _, err := r.ReadByte(); return err })
-	}, func() { crowded <- struct{}{} })
+		c.Serve(func(r *bufio.Reader) error {
+			b, err := r.Peek(frame)
+			if err == nil {
+				r.Discard(frame)
+				c.Send(append([]byte("re "), b...))
+			}
+			return err
+		})
+	}, func() {
+		select {
+		case crowded <- struct{}{}:
+		default:
+		}
+	})
 	go s.Run()
 	dial := func() net.Conn {
 		nc, err := net.Dial("tcp", s.Addr().String())
 		if err != nil {
 			t.Fatal(err)
 		}
+		t.Cleanup(func() { nc.Close() })
+		write(t, nc, "one")
 		return nc
 	}
 	first := dial()
-	defer first.Close()
-	c := <-serving
+	<-serving
+	read(t, first, "re one", false)
+	<-crowded // by the first, as it takes the whole limit
 	second := dial()
-	defer second.Close()
-	if _, err := second.Read(make([]byte, 1)); err == nil {
-		t.Error("a connection over the limit is open")
+	<-crowded // by the second, which waits
+	if n := open.Load(); n != 1 {
+		t.Errorf("%d are served, the limit is 1", n)
 	}
-	if len(crowded) != 2 {
-		t.Errorf("asked %d times to make room, want once for each that came", len(crowded))
+	first.Close()
+	c := <-serving
+	read(t, second, "re one", false)
+	if most.Load() != 1 {
+		t.Errorf("%d were served at a time, the limit is 1", most.Load())
 	}
 	s.SetLimit(2)
 	third := dial()
-	defer third.Close()
-	(<-serving).Close()
+	d := <-serving
+	read(t, third, "re one", false)
+	waits := dial()
+	<-crowded
 	s.Close()
+	e := <-serving
+	read(t, waits, "re one", false)
 	if nc, err := net.Dial("tcp", s.Addr().String()); err == nil {
 		nc.Close()
 		t.Error("a closed server takes connections")
 	}
+	d.Close()
+	e.Close()
 	select {
 	case <-s.Empty():
 		t.Error("empty with a connection open")
--- a/transport/server.go
+++ b/transport/server.go
@@ -17,7 +17,9 @@
 	crowded  func()
 
 	mu      sync.Mutex
-	open    int
+	open    int           // connections, with one that waits for room
+	freed   chan struct{} // holds one word that a connection has ended
+	leaving chan struct{} // closed once the server shuts: none waits for room any more
 	empty   chan struct{} // closed when no connection is open after Close
 	shut    bool
 	running chan struct{} // closed when Run returns; nil before it runs
@@ -28,8 +30,12 @@
 // of its request.
 const lastAccepts = 20 * time.Millisecond
 
-// crowdedShare is the part of the limit from which on room is asked for.
-const crowdedShare = 0.75
+// crowdedShare is the part of the limit from which on room is asked for, and
+// crowdedAgain how often that is done while one waits for it.
+const (
+	crowdedShare = 0.75
+	crowdedAgain = 10 * time.Millisecond
+)
 
 // Inherit takes over the listening socket that a descriptor is. Closing the
 // listener leaves those that others hold of the socket open.
@@ -47,11 +53,14 @@
 }
 
 // NewServer makes a server of a listener; Run works it. Each connection gets a
-// goroutine that calls serve, at most limit at a time: more are closed unread.
-// crowded is called for each that comes when not much room is left, so as to
-// make some.
+// goroutine that calls serve, at most limit at a time. One more is accepted, and
+// waits until another ends, while those behind it wait in the system's queue: closed
+// unread, each would take along a request that its caller has written already.
+// crowded is called for each that comes when not much room is left, and again
+// while one waits, so as to make some.
 func NewServer(l net.Listener, limit int, serve func(*Conn), crowded func()) *Server {
-	return &Server{listener: l, limit: limit, serve: serve, crowded: crowded, empty: make(chan struct{})}
+	return &Server{listener: l, limit: limit, serve: serve, crowded: crowded, empty: make(chan struct{}),
+		freed: make(chan struct{}, 1), leaving: make(chan struct{})}
 }
 
 // SetLimit changes the limit for the connections to come.
@@ -80,32 +89,55 @@
 			time.Sleep(10 * time.Millisecond)
 			continue
 		}
-		taken, crowded := s.count(1)
-		if crowded {
-			s.crowded()
-		}
-		if !taken {
+		if !s.admit() {
 			nc.Close()
 			continue
 		}
 		go func() {
 			s.serve(NewConn(nc))
-			s.count(-1)
+			s.left()
 		}()
 	}
 }
 
-// count takes in that a connection opens or ends. One over the limit is not
-// taken.
-func (s *Server) count(change int) (taken, crowded bool) {
+// admit counts a connection in, and returns once there is room for it. A server
+// that shuts does not wait for that: it takes the one more, and closes the others.
+func (s *Server) admit() bool {
+	s.mu.Lock()
+	s.open++
+	s.mu.Unlock()
+	for {
+		s.mu.Lock()
+		open, limit := s.open, s.limit
+		s.mu.Unlock()
+		if float64(open) > crowdedShare*float64(limit) {
+			s.crowded()
+		}
+		if open <= limit {
+			return true
+		}
+		select {
+		case <-s.freed:
+		case <-s.leaving:
+			if open > limit+1 {
+				s.left()
+			}
+			return open <= limit+1
+		case <-time.After(crowdedAgain):
+		}
+	}
+}
+
+// left takes in that a connection has ended.
+func (s *Server) left() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	taken = s.open+change <= s.limit
-	if taken {
-		s.open += change
-		s.checkEmpty()
+	s.open--
+	s.checkEmpty()
+	select {
+	case s.freed <- struct{}{}:
+	default:
 	}
-	return taken, float64(s.open) > crowdedShare*float64(s.limit)
 }
 
 // checkEmpty closes empty when the time has come. The lock is held.
@@ -125,6 +157,7 @@
 func (s *Server) Shut() {
 	s.mu.Lock()
 	running := s.running
+	s.hurry()
 	s.mu.Unlock()
 	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok && running != nil &&
 		l.SetDeadline(time.Now().Add(lastAccepts)) == nil {
@@ -139,8 +172,18 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.shut = true
+	s.hurry()
 	s.checkEmpty()
 }
 
+// hurry ends the wait for room. The lock is held.
+func (s *Server) hurry() {
+	select {
+	case <-s.leaving:
+	default:
+		close(s.leaving)
+	}
+}
+
 // Empty is closed once the server is closed and its last connection has ended.
 func (s *Server) Empty() <-chan struct{} { return s.empty }
