Serve tenants, the caller's remaining time and feedback, by the settings alone

An unknown or missing tenant, or a time below 0, endless or no number gets an application exception; a longer time than any deadline leaves the deadline. - routing/core.go, report: the list was told of a server's health although the settings (familyInfo.readiness) said that it does not follow it. - routing/tuning.go: classes kept their place through SIGHUP, tenants had none to keep; both are one kind of table now, and a deployment without tenants has a place of its own, so nobody is counted as another. - program/config.go: shares that are missing or don't add up, quotas and names that are none turn the whole file down with a line that names the key; keys that deployments may leave out (aimStretch, prices.fleet, passesDeadline) no longer turn a reload down. - program/metrics.go: names of old classes stayed in the metrics after SIGHUP.

--- a/decision/decision.go
+++ b/decision/decision.go
@@ -85,6 +85,7 @@
 	Fresh          time.Duration // how long a read's answer serves others; 0 for never
 	Stop           StopMode
 	Say            SayMode
+	Readiness      bool          // the list that callers get follows this server's health
 	Heeded         time.Duration // how long a caller keeps the said value in mind
 	MaxAdvice      time.Duration // longest stay-away advice that is heeded; 0 for none
 	MaxIdle        time.Duration // callers close connections that idle this long
--- a/example/ask/main.go
+++ b/example/ask/main.go
@@ -6,6 +6,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"strconv"
 	"time"
 
 	"quincerail.example/quincerail/internal/standin"
@@ -15,9 +16,18 @@
 	uwsgi := flag.Bool("uwsgi", false, "ask over uwsgi, not Thrift")
 	class := flag.String("class", "kampanjsida", "class of the request")
 	key := flag.String("key", "", "key of a keyed request")
+	team := flag.String("team", "", "tenant of a request, over Thrift")
+	limit := flag.Int("limit", 0, "milliseconds that the caller waits, over Thrift; 0 does not tell")
 	body := flag.String("body", "hej", "body; its first word may be fail, hang or call")
 	flag.Parse()
-	caller, address := standin.Caller(standin.Thrift), "127.0.0.1:9090"
+	further := make(map[string]string)
+	if *team != "" {
+		further["team"] = *team
+	}
+	if *limit != 0 {
+		further["limit"] = strconv.Itoa(*limit)
+	}
+	caller, address := standin.ThriftWith(further), "127.0.0.1:9090"
 	if *uwsgi {
 		caller, address = standin.UWSGI, "127.0.0.1:3031"
 	}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -8,6 +8,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
@@ -78,10 +79,22 @@
 
 // Thrift is a caller that speaks the balancers' protocol.
 func Thrift(address, class, key, body string) (*Try, error) {
+	return thriftTry(address, class, key, body, nil)
+}
+
+// ThriftWith gives one whose requests carry further fields, or others.
+func ThriftWith(further map[string]string) Caller {
+	return func(address, class, key, body string) (*Try, error) {
+		return thriftTry(address, class, key, body, further)
+	}
+}
+
+func thriftTry(address, class, key, body string, further map[string]string) (*Try, error) {
 	fields := map[string]string{"verb": class, "txn": NewID(), "lb": "1", "ram": "20", "standing": "0.5"}
 	if key != "" {
 		fields["unique"] = key
 	}
+	maps.Copy(fields, further)
 	t, err := try(address, AppendExecute(nil, 1, fields, []byte(body)))
 	if err != nil {
 		return nil, err
--- a/internal/standin/processor.go
+++ b/internal/standin/processor.go
@@ -118,6 +118,7 @@
 			nc.Write([]byte(n))
 		}
 	case "begin":
+		p.work.came(body, words[2])
 		p.begin(id, body)
 	case "interrupt":
 		if r := p.runs[id]; r != nil && !r.over {
--- a/internal/standin/services.go
+++ b/internal/standin/services.go
@@ -19,6 +19,19 @@
 	listener net.Listener
 	Calls    chan string // bodies
 	Given    chan string // ids of calls that were given up
+
+	mu   sync.Mutex
+	held []func() // replies to calls that are held
+}
+
+// Release replies to the calls that are held.
+func (s *Ledger) Release() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, reply := range s.held {
+		reply()
+	}
+	s.held = nil
 }
 
 // NewLedger starts a ledger.
@@ -50,8 +63,17 @@
 			s.Given <- words[1]
 			continue
 		}
-		s.Calls <- string(body)
 		_, how, _ := strings.Cut(string(body), " ")
+		post := func() {
+			result := Result(string(body))
+			fmt.Fprintf(nc, "%s posted %d\r\n%s\r\n", words[1], len(result), result)
+		}
+		if how == "hold" {
+			s.mu.Lock()
+			s.held = append(s.held, post)
+			s.mu.Unlock()
+		}
+		s.Calls <- string(body)
 		switch how {
 		case "full":
 			fmt.Fprintf(nc, "%s queue_full\r\n", words[1])
@@ -61,8 +83,7 @@
 		case "break":
 			return
 		default:
-			result := Result(string(body))
-			fmt.Fprintf(nc, "%s posted %d\r\n%s\r\n", words[1], len(result), result)
+			post()
 		}
 	}
 }
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -224,6 +224,7 @@
 		CallsOverUs, StaysForUs, FreshUs, IdleUs int64
 		HeededUs                                 int64
 		CallsByClass                             []bool
+		Readiness                                bool
 		DegradedWorth                            []float64
 	}
 	Caps struct {
@@ -253,7 +254,7 @@
 		Fresh: us(f.FreshUs), Heeded: us(f.HeededUs), MaxIdle: us(f.IdleUs),
 		AnswerSlack: us(o.AnswerSlackUs), DrainGrace: us(o.DrainGraceUs),
 		FallMultiple: o.FallMultiple, FallSpan: us(o.OverloadForUs),
-		ColdFrom: o.ColdFrom, ColdSpan: us(o.ColdUs), BatchGap: us(p.QuantumUs),
+		ColdFrom: o.ColdFrom, ColdSpan: us(o.ColdUs), BatchGap: us(p.QuantumUs), Readiness: f.Readiness,
 	}
 	if p.Caps.RetryAfter {
 		s.MaxAdvice = us(p.Caps.MaxRetryAfterUs)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -184,6 +184,9 @@
 	}
 	in.now = now
 	s.Cold, s.ColdFrom, s.ColdSpan = in.set.Cold, in.set.ColdFrom, in.set.ColdSpan
+	if s.Say != in.set.Say {
+		in.said = -1 // what was said means another thing
+	}
 	in.set = s
 	in.calls = append(in.calls, make([]float64, len(s.Classes)-old)...)
 	in.rates = append(in.rates, make([]float64, max(0, len(s.Tenants)-len(in.rates)))...)
--- a/program/config.go
+++ b/program/config.go
@@ -6,7 +6,9 @@
 	"cmp"
 	"fmt"
 	"log/slog"
+	"math"
 	"os"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -31,6 +33,7 @@
 	MemoryMB                    int
 	Sockets                     int
 	Classes                     []string
+	Tenants                     []string
 	Settings                    decision.Settings
 	Gauges                      []string      // names, in the order in which the processor gives them
 	Rules                       *match.Set    // of the operator's rule file, where there is one; nil for none
@@ -64,6 +67,9 @@
 	parts := in.Map()
 	has.ForEach(func(name, value gjson.Result) bool {
 		path := at + "." + name.String()
+		if mayLack(path) {
+			return true
+		}
 		if part, ok := parts[name.String()]; !ok || part.Type == gjson.Null && value.Type != gjson.Null {
 			key = path
 		} else {
@@ -74,6 +80,11 @@
 	return strings.TrimPrefix(key, ".")
 }
 
+// mayLack tells whether a key is one that some deployments leave out.
+func mayLack(path string) bool {
+	return path == ".settings.familyInfo.passesDeadline" || path == ".settings.prices.fleet" || strings.HasSuffix(path, ".aimStretch")
+}
+
 // LoadConfig reads the configuration file. An error names the key at fault.
 func LoadConfig(path string) (*Config, error) {
 	text, err := os.ReadFile(path)
@@ -141,8 +152,38 @@
 	for _, lane := range settings.Get("lanes").Array() {
 		c.Classes = append(c.Classes, lane.Get("name").String())
 	}
+	if c.Tenants, err = tenants(settings); err != nil {
+		return nil, err
+	}
 	for _, name := range settings.Get("familyInfo.ownStats").Array() {
 		c.Gauges = append(c.Gauges, name.String())
 	}
 	return c, nil
 }
+
+// sharesOff is how far the tenants' shares may be from one in all: they are rounded.
+const sharesOff = 0.02
+
+// tenants gives the names of the tenants, and sees that each has a share and a quota
+// and that the shares add up to the whole service.
+func tenants(settings gjson.Result) (names []string, err error) {
+	sum := 0.0
+	for i, realm := range settings.Get("realms").Array() {
+		at := fmt.Sprintf("settings.realms.%d.", i)
+		name := realm.Get("name")
+		if name.Type != gjson.String || name.Str == "" || slices.Contains(names, name.Str) {
+			return nil, fmt.Errorf("%sname: a name of its own wanted", at)
+		}
+		names = append(names, name.Str)
+		for _, key := range []string{"share", "quotaRps"} {
+			if v := realm.Get(key); v.Type != gjson.Number || !(v.Num >= 0 && v.Num < 1e12) {
+				return nil, fmt.Errorf("%s%s: a number of 0 or more wanted", at, key)
+			}
+		}
+		sum += realm.Get("share").Num
+	}
+	if len(names) > 0 && math.Abs(sum-1) > sharesOff {
+		return nil, fmt.Errorf("settings.realms: the shares add up to %.3f, 1 wanted", sum)
+	}
+	return names, nil
+}
--- a/program/metrics.go
+++ b/program/metrics.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -19,7 +20,8 @@
 // metrics are a server's counts for its operators, in the Prometheus text
 // format on a listener of the operator's own (github.com/prometheus/client_golang):
 //
-//	quincerail_answers_total{class,kind}    final answers; kind is served, refused, failed, deadline or rejected
+//	quincerail_answers_total{class,kind}    final answers; kind is served, refused, failed, deadline or rejected;
+//	                                        class (dropped) holds what came under classes that are gone since
 //	quincerail_repeats_total{class}         of those served, the ones with another try's result
 //	quincerail_answer_seconds{class,kind}   from a request's coming to its answer
 //	quincerail_open_requests                handed in and not answered yet: held, waiting and running
@@ -39,6 +41,21 @@
 	repeats  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	count    func(kind string) // for the whole fleet
+	classes  []string          // in force; of the server's reloads alone
+}
+
+// tune drops what was counted of classes that are no longer in force. It comes after
+// the core's Retune, from which on answers to these go by routing.DroppedClass.
+func (m *metrics) tune(classes []string) {
+	for _, old := range m.classes {
+		if !slices.Contains(classes, old) {
+			labels := prometheus.Labels{"class": old}
+			m.answers.DeletePartialMatch(labels)
+			m.repeats.DeletePartialMatch(labels)
+			m.latency.DeletePartialMatch(labels)
+		}
+	}
+	m.classes = classes
 }
 
 func newMetrics() *metrics {
--- a/program/program.go
+++ b/program/program.go
@@ -81,6 +81,7 @@
 	operators   []*http.Server  // the operator's own listeners
 	fleet       *fleet.Fleet    // nil where there is none
 	tally       *tally          // nil without a fleet
+	watch       *metrics        // nil without the operator's listener for them
 	reloading   sync.Mutex      // one at a time
 	file        *Config         // the configuration as its file says
 	patch       json.RawMessage // what the fleet changes of its settings
@@ -104,7 +105,7 @@
 	link, pool := backend.NewProcessor(c.Processor, c.Gauges, logger), below.NewPool(c.Ledger)
 	presence, idle := newAnnouncer(c.Name, logger), &idleLimit{}
 	idle.CloseIdle(c.Settings.MaxIdle)
-	opt := routing.Options{Settings: c.Settings, Classes: c.Classes, Seed: c.Seed, Logger: logger,
+	opt := routing.Options{Settings: c.Settings, Classes: c.Classes, Tenants: c.Tenants, Seed: c.Seed, Logger: logger,
 		Backend: link, Machine: link, Dependency: pool, Presence: presence, Connections: idle,
 		KeyBytes: c.MemoryMB << 20 / keysShare}
 	var watch *metrics
@@ -112,6 +113,7 @@
 	var watching observers
 	if c.MetricsListen != "" {
 		watch = newMetrics()
+		watch.tune(c.Classes)
 		watching = append(watching, watch)
 	}
 	if c.Fleet != nil && c.Fleet.Window > 0 {
@@ -172,7 +174,7 @@
 		rules.Replace(c.Rules)
 	}
 	s := &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules), idle: idle,
-		rules: rules, keys: keys, log: logger, fleet: member, tally: counted, file: c}
+		rules: rules, keys: keys, log: logger, fleet: member, tally: counted, watch: watch, file: c}
 	s.config.Store(c)
 	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
 		return nil, err
@@ -354,7 +356,7 @@
 // reload puts a configuration in force.
 func (s *Server) reload(c *Config, u *UWSGIConfig) error {
 	was := s.config.Load()
-	if err := s.core.Retune(c.Settings, c.Classes); err != nil {
+	if err := s.core.Retune(c.Settings, c.Classes, c.Tenants); err != nil {
 		return err
 	}
 	Limit(c)
@@ -378,6 +380,9 @@
 	if s.tally != nil {
 		s.tally.tune(c.Classes, c.Settings)
 	}
+	if s.watch != nil {
+		s.watch.tune(c.Classes)
+	}
 	s.config.Store(c)
 	s.log.Info("reloaded", "processor", c.Processor, "ledger", c.Ledger, "announce", c.Announce, "classes", fmt.Sprintf("%q", c.Classes))
 	return nil
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"math"
 	"slices"
 	"strconv"
 	"sync"
@@ -19,6 +20,7 @@
 	maxOpen      = 32                     // requests on one connection
 	thriftWithin = 2 * time.Second        // for a message to come whole, and for the first to come at all
 	doorAhead    = 5 * time.Second        // that a caller's clock may be ahead of this one
+	longestLimit = 24 * 60 * 60 * 1000    // milliseconds that a caller may say it waits: any deadline is less
 	roomEvery    = 10 * time.Millisecond  // at most, room is made where connections are scarce; there,
 	silentAfter  = 50 * time.Millisecond  // a connection that has said nothing gives way after so long,
 	crowdedAfter = 250 * time.Millisecond // one that idles after so long,
@@ -113,7 +115,7 @@
 			t.mu.Lock()
 			defer t.mu.Unlock()
 			t.checks--
-			t.conn.Send(thrift.AppendAnswer(nil, m.Name, m.Seq, thrift.Answer{Good: good}))
+			t.conn.Send(thrift.AppendAnswer(nil, m.Name, m.Seq, thrift.Answer{Good: good, Fields: t.fields()}))
 		}
 		if t.core.Check(m.Probe, answer) != nil { // it has stopped
 			answer(false)
@@ -155,6 +157,10 @@
 	if err != nil {
 		return fmt.Errorf("lb %q", m.Fields["lb"])
 	}
+	due, err := callerDue(time.UnixMilli(door), m.Fields["limit"])
+	if err != nil {
+		return err
+	}
 	id := m.Fields["txn"]
 	if _, err := strconv.ParseUint(id, 16, 64); err != nil || len(id) != 16 {
 		return fmt.Errorf("txn %q", id)
@@ -176,8 +182,8 @@
 			class, key = res.Class, res.Key
 		}
 	}
-	err = t.core.Submit(routing.Request{ID: id, Class: class, Key: key, Item: m.Fields["item"],
-		Door: time.UnixMilli(door), After: t.conn.CameAfter(), Caller: caller, HeldKB: ram, Rank: rank,
+	err = t.core.Submit(routing.Request{ID: id, Class: class, Key: key, Item: m.Fields["item"], Tenant: m.Fields["team"],
+		Due: due, Door: time.UnixMilli(door), After: t.conn.CameAfter(), Caller: caller, HeldKB: ram, Rank: rank,
 		Payload: routing.Payload{Body: m.Body}, Sink: t})
 	if err != nil {
 		t.mu.Lock()
@@ -187,6 +193,32 @@
 	return err
 }
 
+// callerDue gives when a caller stops waiting that says how many milliseconds it waits
+// from the door on. Zero, or nothing, is not told: its class's deadline holds, as it
+// does where more is told than any client waits.
+func callerDue(door time.Time, limit string) (due time.Time, err error) {
+	if limit == "" {
+		return time.Time{}, nil
+	}
+	ms, err := strconv.ParseFloat(limit, 64)
+	if err != nil || !(ms >= 0) || math.IsInf(ms, 0) {
+		return time.Time{}, fmt.Errorf("limit %q", limit)
+	}
+	if ms == 0 {
+		return time.Time{}, nil
+	}
+	return door.Add(time.Duration(min(ms, longestLimit) * float64(time.Millisecond))), nil
+}
+
+// fields gives those that an answer carries: the free value, where there is one.
+func (t *thriftConn) fields() map[string]string {
+	fields := make(map[string]string, 3)
+	if value, ok := t.core.Said(); ok {
+		fields["feedback"] = strconv.FormatFloat(max(0, value), 'f', 4, 64)
+	}
+	return fields
+}
+
 // Answer implements routing.Sink.
 func (t *thriftConn) Answer(id string, o routing.Outcome) {
 	t.mu.Lock()
@@ -201,10 +233,11 @@
 	}
 	switch o.Kind {
 	case routing.Served:
-		t.conn.Send(thrift.AppendAnswer(nil, "execute", seq, thrift.Answer{Body: o.Result.Body, Good: true}))
+		t.conn.Send(thrift.AppendAnswer(nil, "execute", seq, thrift.Answer{Body: o.Result.Body, Fields: t.fields(), Good: true}))
 	case routing.Refused:
 		// A refusal always says when to come back, be it at once.
-		fields := map[string]string{"later": strconv.FormatInt(max(1, o.Later.Milliseconds()), 10)}
+		fields := t.fields()
+		fields["later"] = strconv.FormatInt(max(1, o.Later.Milliseconds()), 10)
 		if o.GiveUp {
 			fields["giveup"] = "1"
 		}
@@ -212,7 +245,7 @@
 	case routing.Rejected:
 		t.conn.Send(thrift.AppendException(nil, "execute", seq, thrift.ProtocolError, "id or key of another request"))
 	default:
-		t.conn.Send(thrift.AppendFault(nil, seq, nil))
+		t.conn.Send(thrift.AppendFault(nil, seq, t.fields()))
 	}
 }
 
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -22,7 +22,7 @@
 		earlier = c.keys.enter(a)
 	}
 	r := decision.Request{
-		ID: a.ID, Class: a.class, Key: a.Item, HeldKB: a.HeldKB, Rank: a.Rank, From: a.Caller,
+		ID: a.ID, Class: a.class, Tenant: a.tenant, Key: a.Item, HeldKB: a.HeldKB, Rank: a.Rank, From: a.Caller,
 		Write: a.kind.Effect != decision.Safe, Waited: c.now - a.came, Earlier: earlier,
 	}
 	if a.due != a.came+a.kind.Deadline { // the caller said that it waits less, or its time began before
@@ -106,8 +106,12 @@
 // Health says how checks are answered.
 func (h host) Health(on, cached bool) { h.setHealth(on, cached) }
 
-// Say has no meaning here: no answer carries a free value.
-func (h host) Say(float64) {}
+// Say changes the free value.
+func (h host) Say(value float64) {
+	if h.set.Say != decision.SayNothing {
+		h.said.Store(&value)
+	}
+}
 
 // CloseIdle says how long connections may idle.
 func (h host) CloseIdle(after time.Duration) {
--- a/routing/book.go
+++ b/routing/book.go
@@ -15,7 +15,11 @@
 	c.open.Add(-1)
 	if c.opt.Observer != nil {
 		repeat := o.Kind == Served && a.entry != nil && a.entry.ran != a.ID
-		c.opt.Observer.Answered(a.Class, o.Kind, time.Duration(c.now-a.door), repeat)
+		class := a.Class
+		if _, taken := c.tuned.Load().classes.taken[class]; !taken {
+			class = DroppedClass
+		}
+		c.opt.Observer.Answered(class, o.Kind, time.Duration(c.now-a.door), repeat)
 	}
 	c.release(a)
 }
--- a/routing/core.go
+++ b/routing/core.go
@@ -27,6 +27,7 @@
 type Options struct {
 	Settings    decision.Settings
 	Classes     []string // names, in the order of the settings
+	Tenants     []string // likewise; nil where the settings have none
 	Seed        int64
 	Backend     Backend     // for requests that name none
 	Machine     Machine     // nil: no gauges, and deep checks go by the module alone
@@ -56,8 +57,12 @@
 	Observer Observer
 }
 
-// Observer is told of each final answer: the class by its name, the kind, and
-// how long after the request came; repeat tells an answer that was another
+// DroppedClass stands for the class of a request that came under a class which new
+// settings no longer have, where answers are counted.
+const DroppedClass = "(dropped)"
+
+// Observer is told of each final answer: the class by its name, or DroppedClass, the
+// kind, and how long after the request came; repeat tells an answer that was another
 // try's result. Its method must not block.
 type Observer interface {
 	Answered(class string, kind Kind, took time.Duration, repeat bool)
@@ -94,14 +99,15 @@
 	keys      *keyTable
 	followUps []func() // events that the module's own actions bring
 	gauges    decision.Gauges
-	bounds    *decision.Bounds // of a fleet; nil for none
-	fit       bool             // health as the module sets it
-	stored    bool             // checks are answered from it alone
-	away      bool             // operators have its callers sent away
-	peer      Peer             // nil where this process is alone
-	elder     bool             // the peer was there first
-	untold    []*entry         // keys that a peer which has just come has not been told of
-	settled   chan struct{}    // closed once nothing is open; nil where nobody waits for that
+	bounds    *decision.Bounds        // of a fleet; nil for none
+	said      atomic.Pointer[float64] // the free value that callers are told; nil where there is none
+	fit       bool                    // health as the module sets it
+	stored    bool                    // checks are answered from it alone
+	away      bool                    // operators have its callers sent away
+	peer      Peer                    // nil where this process is alone
+	elder     bool                    // the peer was there first
+	untold    []*entry                // keys that a peer which has just come has not been told of
+	settled   chan struct{}           // closed once nothing is open; nil where nobody waits for that
 	draining  bool
 	stopAt    time.Duration
 	pools     *limits.Pools // nil where runs are bound by the module alone
@@ -121,7 +127,7 @@
 	if c.log == nil {
 		c.log = slog.Default()
 	}
-	if err := c.retune(opt.Settings, opt.Classes); err != nil {
+	if err := c.retune(opt.Settings, opt.Classes, opt.Tenants); err != nil {
 		return nil, err
 	}
 	for _, name := range opt.Classes {
@@ -321,10 +327,22 @@
 // welcome tells whether callers are to come: not before anything can run here.
 func (c *Core) welcome() bool { return c.module != nil && c.fit && !c.away && !c.draining }
 
+// report tells the list whether callers are to come. Where that does not follow a
+// server's health, it knows only whether the server runs or drains.
 func (c *Core) report() {
 	if c.opt.Presence != nil {
-		c.opt.Presence.Accepting(c.welcome())
+		c.opt.Presence.Accepting(c.welcome() || !c.set.Readiness && c.module != nil && !c.away && !c.draining)
+	}
+}
+
+// Said gives the free value that rides on answers and health checks, as its module
+// set it last; ok is false where the settings have none. It may be called from any
+// goroutine.
+func (c *Core) Said() (value float64, ok bool) {
+	if v := c.said.Load(); v != nil {
+		return *v, true
 	}
+	return 0, false
 }
 
 // SendAway has callers told to stay away, or to come again, whatever the module
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -35,6 +35,7 @@
 	Class   string    // by its name in the settings
 	Key     string    // keyed classes: the same for all tries of one request
 	Item    string    // what a read is about; may be empty
+	Tenant  string    // by its name in the settings; of no meaning where these have none
 	Door    time.Time // when it came to the machine; what is past its time then is only answered
 	After   time.Time // its last byte came after this, where it came in pieces; zero else
 	Due     time.Time // when its caller gives up, where that is sooner than its class's deadline; zero else
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -17,6 +17,7 @@
 type attempt struct {
 	Request
 	class    int
+	tenant   int
 	kind     decision.Class // as it was when the request came
 	door     time.Duration
 	came     time.Duration // its last byte, as far as is known; the door at the earliest
@@ -49,24 +50,28 @@
 // its sink hears nothing.
 func (c *Core) Submit(r Request) error {
 	tuned := c.tuned.Load()
-	class, ok := tuned.taken[r.Class]
+	class, ok := tuned.classes.taken[r.Class]
 	if !ok {
 		return fmt.Errorf("class %q is not known", r.Class)
 	}
-	keyed := tuned.classes[class].Effect == decision.Keyed
+	keyed := tuned.classes.items[class].Effect == decision.Keyed
 	if keyed && r.Key == "" {
 		return fmt.Errorf("class %q needs a key", r.Class)
 	}
 	if keyed && len(r.Key) > maxKey {
 		return fmt.Errorf("a key of %d bytes, %d at most", len(r.Key), maxKey)
 	}
+	tenant, ok := tuned.tenant(r.Tenant)
+	if !ok {
+		return fmt.Errorf("tenant %q is not known", r.Tenant)
+	}
 	if r.ID == "" || !(r.HeldKB > 0) {
 		return fmt.Errorf("id %q, memory %v: both are needed", r.ID, r.HeldKB)
 	}
-	return c.post(func() { c.takeIn(r, class) })
+	return c.post(func() { c.takeIn(r, class, tenant) })
 }
 
-func (c *Core) takeIn(r Request, class int) {
+func (c *Core) takeIn(r Request, class, tenant int) {
 	if c.attempts[r.ID] != nil { // ids never return
 		r.Sink.Answer(r.ID, Outcome{Kind: Rejected})
 		return
@@ -80,7 +85,7 @@
 		r.Sink.Answer(r.ID, Outcome{Kind: Rejected})
 		return
 	}
-	a := &attempt{Request: r, class: class, kind: kind, door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
+	a := &attempt{Request: r, class: class, tenant: tenant, kind: kind, door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
 	// A caller's clock ahead of ours can't have made it come after now.
 	a.door = min(a.door, c.now)
 	if a.came = a.door; !r.After.IsZero() { // by its parts it may have come after the grace of a drain
