Show by the order of runs that the module hears whose a request is

TestTenantsShare fails where routing/admit.go leaves the tenant out, which TestTenantOfRequest did not see.

--- a/routing/tuning_test.go
+++ b/routing/tuning_test.go
@@ -1,6 +1,7 @@
 package routing
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 	"testing/synctest"
@@ -121,8 +122,8 @@
 	})
 }
 
-// TestTenantOfRequest: the module hears of a request under its own tenant, though
-// another table comes between reading and taking it in.
+// TestTenantOfRequest: a request keeps its own tenant, though another table comes
+// between reading and taking it in.
 func TestTenantOfRequest(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPartyWith(t, func(o *Options) {
@@ -156,6 +157,44 @@
 	})
 }
 
+// TestTenantsShare: the module hears whose a request is. One that is far over its
+// quota waits behind others of the same class, in whatever order they came.
+func TestTenantsShare(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := newPartyWith(t, func(o *Options) {
+			o.Settings.Tenants, o.Tenants = []decision.Tenant{{Quota: 1}, {Quota: 1000}}, []string{"floods", "sparing"}
+			o.Settings.OverShareWorth = 0.05
+		})
+		defer p.end()
+		read := func(id, tenant string) {
+			t.Helper()
+			err := p.Submit(Request{ID: id, Class: "read", Tenant: tenant, Door: time.Now(), HeldKB: 20, Sink: sink{p}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			p.wait()
+		}
+		for i := range 40 {
+			id := fmt.Sprint("early ", i)
+			read(id, "floods")
+			p.complete(id, Good, "")
+		}
+		for i := range p.set.Cores {
+			read(fmt.Sprint("runs ", i), "floods")
+		}
+		read("waits", "floods")
+		p.sleep(time.Millisecond)
+		read("of another", "sparing")
+		if p.runs["waits"]+p.runs["of another"] > 0 {
+			t.Fatal("the cores are not full")
+		}
+		p.complete("runs 0", Good, "")
+		if p.runs["of another"] != 1 || p.runs["waits"] != 0 {
+			t.Errorf("runs %v", p.runs)
+		}
+	})
+}
+
 // TestListFollowsHealth: the list hears of a server's health where the settings say so,
 // and else only whether it runs or drains.
 func TestListFollowsHealth(t *testing.T) {
