--- a/cmd/quincerail/main.go
+++ b/cmd/quincerail/main.go
@@ -40,7 +40,7 @@
 func main() {
 	var c cli
 	parser, err := kong.New(&c, kong.Name("quincerail"),
-		kong.Description("The app server of gava-norr, and its operators' tools. GW_CONFIG names the configuration."),
+		kong.Description("The app server, and its operators' tools. GW_CONFIG names the configuration."),
 		kong.UsageOnError())
 	if err != nil {
 		panic(err) // the grammar above is wrong
