--- a/program/below/cut_test.go
+++ b/program/downstream/cut_test.go
@@ -1,4 +1,4 @@
-package below
+package downstream
 
 import (
 	"bufio"
--- a/program/below/pool.go
+++ b/program/downstream/pool.go
@@ -1,6 +1,6 @@
-// Package below makes the calls that runs ask for: over connections to the shared
+// Package downstream makes the calls that runs ask for: over connections to the shared
 // ledger, and within what the whole fleet may have in hand there.
-package below
+package downstream
 
 import (
 	"bufio"
--- a/program/program.go
+++ b/program/program.go
@@ -18,7 +18,7 @@
 	"quincerail.example/quincerail/fleet"
 	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/program/backend"
-	"quincerail.example/quincerail/program/below"
+	"quincerail.example/quincerail/program/downstream"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/store"
 	"quincerail.example/quincerail/transport"
@@ -65,7 +65,7 @@
 	config      atomic.Pointer[Config] // in force
 	core        *routing.Core
 	link        *backend.Processor
-	pool        *below.Pool
+	pool        *downstream.Pool
 	presence    *announcer
 	thrift      *thriftFront
 	uwsgi       *uwsgiFront // nil where it is off, like its backend
@@ -102,7 +102,7 @@
 	if logger == nil {
 		logger = slog.Default()
 	}
-	link, pool := backend.NewProcessor(c.Processor, c.Gauges, logger), below.NewPool(c.Ledger)
+	link, pool := backend.NewProcessor(c.Processor, c.Gauges, logger), downstream.NewPool(c.Ledger)
 	presence, idle := newAnnouncer(c.Name, logger), &idleLimit{}
 	idle.CloseIdle(c.Settings.MaxIdle)
 	opt := routing.Options{Settings: c.Settings, Classes: c.Classes, Tenants: c.Tenants, Seed: c.Seed, Logger: logger,
@@ -148,9 +148,9 @@
 			member.Stop(0)
 		}
 	}()
-	var budgeted *below.Budgeted
+	var budgeted *downstream.Budgeted
 	if member != nil && member.Budget(fleet.Calls) != nil {
-		budgeted = below.NewBudgeted(pool, member.Budget(fleet.Calls), func() time.Duration { return c.Settings.Linger })
+		budgeted = downstream.NewBudgeted(pool, member.Budget(fleet.Calls), func() time.Duration { return c.Settings.Linger })
 		opt.Dependency = budgeted
 	}
 	core, err := routing.New(opt)
@@ -164,7 +164,7 @@
 		pool.Attach(budgeted)
 	}
 	if member != nil {
-		below.Bound(core, member)
+		downstream.Bound(core, member)
 	}
 	if watch != nil {
 		watch.core.Store(core)
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -16,7 +16,7 @@
 		sum := sha256.Sum256(a.Payload.Body) // the same in every process, and none can be made to fit
 		a.body = binary.BigEndian.Uint64(sum[:])
 		if !c.keys.matches(a, c.kin) { // its result is not for this caller
-			c.book(a, Outcome{Kind: Rejected})
+			c.answer(a, Outcome{Kind: Rejected})
 			return
 		}
 		earlier = c.keys.enter(a)
@@ -82,17 +82,17 @@
 func (h host) Refuse(id string, stayAway time.Duration, last bool) {
 	if a := h.attempts[id]; a != nil {
 		if a.entry != nil && a.entry.ranFor(a.door) { // an effect that may have been had is never denied
-			h.book(a, h.failure(a))
+			h.answer(a, h.failure(a))
 			return
 		}
-		h.book(a, Outcome{Kind: Refused, Later: stayAway, GiveUp: last})
+		h.answer(a, Outcome{Kind: Refused, Later: stayAway, GiveUp: last})
 	}
 }
 
 // Fail answers a request with an error, at once.
 func (h host) Fail(id string) {
 	if a := h.attempts[id]; a != nil {
-		h.book(a, h.failure(a))
+		h.answer(a, h.failure(a))
 	}
 }
 
--- a/routing/book.go
+++ b/routing/answer.go
@@ -2,11 +2,11 @@
 
 import "time"
 
-// Book: the final answer is given and remembered.
+// Answer: the final answer is given and remembered.
 
-// book gives a request its final answer. All answers go through here, which is
+// answer gives a request its final answer. All answers go through here, which is
 // what guards that there is one and no more.
-func (c *Core) book(a *attempt, o Outcome) {
+func (c *Core) answer(a *attempt, o Outcome) {
 	if a.answered {
 		return
 	}
@@ -32,7 +32,7 @@
 	late := c.set.AnswerSlack * 3 / 4 // the module's own guard comes at half of it
 	for id, a := range c.attempts {
 		if !a.answered && (c.now > a.due+late || c.stopAt != 0 && c.now > c.stopAt) {
-			c.book(a, c.failure(a))
+			c.answer(a, c.failure(a))
 			c.module.Gone(c.now, id)
 		}
 	}
@@ -50,15 +50,15 @@
 	}
 	e := a.entry
 	if a.paused {
-		c.bookRun(a, Cut, Payload{})
+		c.recordRun(a, Cut, Payload{})
 	}
 	for _, r := range c.keys.leave(a) {
 		c.followUps = append(c.followUps, func() { c.settleRepeat(r, e) })
 	}
 }
 
-// bookRun remembers what a keyed run came to, for its repeats.
-func (c *Core) bookRun(a *attempt, end End, result Payload) {
+// recordRun remembers what a keyed run came to, for its repeats.
+func (c *Core) recordRun(a *attempt, end End, result Payload) {
 	if a.entry == nil || a.entry.ran != a.ID {
 		return
 	}
--- a/routing/relay.go
+++ b/routing/relay.go
@@ -27,14 +27,14 @@
 		return
 	}
 	outcome := [...]decision.Outcome{Good: decision.OK, Bad: decision.Errored, Cut: decision.Cancelled, Unborn: decision.Moot}[end]
-	c.bookRun(a, end, result)
+	c.recordRun(a, end, result)
 	switch end {
 	case Good:
-		c.book(a, Outcome{Kind: Served, Result: result})
+		c.answer(a, Outcome{Kind: Served, Result: result})
 	case Bad, Unborn:
 		o := c.failure(a)
 		o.Result = result
-		c.book(a, o)
+		c.answer(a, o)
 	}
 	a.begun = false
 	c.module.Done(c.now, id, outcome, took)
@@ -87,9 +87,9 @@
 	outcome := decision.Errored
 	if e != nil && e.result != nil && e.body == a.body {
 		outcome = decision.OK
-		c.book(a, Outcome{Kind: Served, Result: *e.result})
+		c.answer(a, Outcome{Kind: Served, Result: *e.result})
 	} else {
-		c.book(a, c.failure(a))
+		c.answer(a, c.failure(a))
 	}
 	c.module.Done(c.now, a.ID, outcome, 0)
 	c.release(a)
--- a/routing/route.go
+++ b/routing/route.go
@@ -43,7 +43,7 @@
 	case err != nil:
 		c.log.Warn("journal_refused", "key", a.Key, "error", err.Error())
 		c.keys.unclaim(a)
-		c.book(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
+		c.answer(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
 		c.completed(a.ID, Unborn, 0, Payload{})
 	case a.answered: // given up meanwhile
 		c.completed(a.ID, Unborn, 0, Payload{})
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -2,7 +2,7 @@
 // outcomes. It knows no wire. One goroutine owns the decision module and the
 // state of all requests; fronts and backends send it events.
 //
-// A request passes the stages take in, admit, route, send, relay and book,
+// A request passes the stages take in, admit, route, send, relay and answer,
 // each in a file of its own.
 package routing
 
--- a/routing/send.go
+++ b/routing/send.go
@@ -54,7 +54,7 @@
 	if a.entry != nil {
 		c.keys.unclaim(a)
 	}
-	c.book(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
+	c.answer(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
 	c.completed(a.ID, Unborn, 0, Payload{})
 }
 
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -103,21 +103,21 @@
 	// The module takes how long a request has waited for how late reads are, and a
 	// server whose reads are late for sick. A door that makes no sense must not.
 	if c.now > a.due {
-		c.book(a, Outcome{Kind: TimedOut})
+		c.answer(a, Outcome{Kind: TimedOut})
 		return
 	}
 	e := c.keys.entries[a.Key]
 	switch {
 	case c.module == nil && e != nil && e.ranFor(a.door): // another process told of its run
-		c.book(a, c.failure(a))
+		c.answer(a, c.failure(a))
 		return
 	case c.module == nil, // nothing can run yet, or ever
 		a.Key != "" && e == nil && c.keys.full(): // it could run, but not be kept from running again
-		c.book(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
+		c.answer(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
 		return
 	}
 	if a.Key != "" && e == nil && c.now < time.Duration(c.opt.InDoubtUntil.UnixNano()) {
-		c.book(a, c.failure(a)) // a lost record may have told of its run
+		c.answer(a, c.failure(a)) // a lost record may have told of its run
 		return
 	}
 	c.admit(a)
