--- a/program/config_test.go
+++ b/program/config_test.go
@@ -36,6 +36,7 @@
 		{`"memory_mb": 192`, `"memory_mb": "192"`, "limits.memory_mb"},
 		{`"seed": "8c1f`, `"seed": "xyz`, "seed"},
 		{`"settings": {`, `"other": {`, "settings"},
+		{`"hardLimitUs": 4600000`, `"hardLimitUs": -5`, "Classes[1].Deadline"},
 		{`"stopMode": "drop"`, `"stopMode": "never"`, "stopMode"},
 		{`"ledger": "127.0.0.1:7700",`, ``, "ledger"},
 		{`{`, `[`, "GW_CONFIG"},
