--- a/program/config.go
+++ b/program/config.go
@@ -148,9 +148,6 @@
 	if c.Settings, err = wire.Settings(settings.Raw); err != nil {
 		return nil, fmt.Errorf("settings: %w", err)
 	}
-	if err = c.Settings.Validate(); err != nil { // here by the file's order of classes and tenants, not by their places
-		return nil, fmt.Errorf("settings: %w", err)
-	}
 	c.Settings.Fresh = 0 // reads are not shared here: no site asks for it
 	for _, lane := range settings.Get("lanes").Array() {
 		c.Classes = append(c.Classes, lane.Get("name").String())
@@ -158,6 +155,9 @@
 	if c.Tenants, err = tenants(settings); err != nil {
 		return nil, err
 	}
+	if err = c.Settings.Validate(); err != nil { // here by the file's order of classes and tenants, not by their places
+		return nil, fmt.Errorf("settings: %w", err)
+	}
 	for _, name := range settings.Get("familyInfo.ownStats").Array() {
 		c.Gauges = append(c.Gauges, name.String())
 	}
