--- a/routing/core.go
+++ b/routing/core.go
@@ -324,14 +324,18 @@
 	c.report()
 }
 
-// welcome tells whether callers are to come: not before anything can run here.
-func (c *Core) welcome() bool { return c.module != nil && c.fit && !c.away && !c.draining }
+// wanted tells whether callers are to come whatever this server's health: not before
+// anything can run here.
+func (c *Core) wanted() bool { return c.module != nil && !c.away && !c.draining }
+
+// welcome tells whether callers are to come.
+func (c *Core) welcome() bool { return c.fit && c.wanted() }
 
 // report tells the list whether callers are to come. Where that does not follow a
 // server's health, it knows only whether the server runs or drains.
 func (c *Core) report() {
 	if c.opt.Presence != nil {
-		c.opt.Presence.Accepting(c.welcome() || !c.set.Readiness && c.module != nil && !c.away && !c.draining)
+		c.opt.Presence.Accepting(c.wanted() && (c.fit || !c.set.Readiness))
 	}
 }
 
