--- a/cmd/quincerail/main_test.go
+++ b/cmd/quincerail/main_test.go
@@ -19,6 +19,7 @@
 	"testing"
 	"time"
 
+	"quincerail.example/quincerail/internal/coretest"
 	"quincerail.example/quincerail/internal/fleettest"
 	"quincerail.example/quincerail/internal/standin"
 	"quincerail.example/quincerail/routing"
@@ -69,10 +70,8 @@
 // writeConfigOf writes one of the examples' configurations with changes.
 func writeConfigOf(t *testing.T, example string, changes map[string]any) string {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("..", "..", "example", example))
 	config := make(map[string]any)
-	must(t, 0, err)
-	must(t, 0, json.Unmarshal(text, &config))
+	must(t, 0, json.Unmarshal([]byte(coretest.Example(t, example)), &config))
 	delete(config, "control") // a test asks for one if it calls it
 	for key, value := range changes {
 		config[key] = value
--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/json"
 	"fmt"
-	"os"
 	"os/exec"
 	"path/filepath"
 	"slices"
@@ -12,6 +11,7 @@
 	"testing"
 	"time"
 
+	"quincerail.example/quincerail/internal/coretest"
 	"quincerail.example/quincerail/internal/fault"
 	"quincerail.example/quincerail/internal/fleettest"
 	"quincerail.example/quincerail/internal/standin"
@@ -298,16 +298,12 @@
 	r := versions(t, fleettest.Options{Word: "page", Files: map[string]map[string]any{"m2": {"rules": rules}}}, nil)
 	good, bad := filepath.Join(t.TempDir(), "good.json"), filepath.Join(t.TempDir(), "bad.json")
 	writeFile(t, good, `{"familyInfo": {"idleUs": 20000000}}`)
-	text, err := os.ReadFile(filepath.Join("..", "example", "config.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
 	var example struct {
 		Settings struct {
 			Lanes []map[string]any `json:"lanes"`
 		} `json:"settings"`
 	}
-	if err := json.Unmarshal(text, &example); err != nil {
+	if err := json.Unmarshal([]byte(coretest.Example(t, "config.json")), &example); err != nil {
 		t.Fatal(err)
 	}
 	lanes := example.Settings.Lanes
--- a/internal/coretest/coretest.go
+++ b/internal/coretest/coretest.go
@@ -23,20 +23,27 @@
 // Answer implements routing.Sink.
 func (a Answers) Answer(id string, o routing.Outcome) { a <- fmt.Sprint(id, " ", o.Kind) }
 
-// New starts a core with the example's settings, until the test ends.
-func New(t *testing.T, opt routing.Options) *routing.Core {
+// Example gives the text of one of the example's files.
+func Example(t testing.TB, name string) string {
 	t.Helper()
 	_, here, _, _ := runtime.Caller(0)
-	text, err := os.ReadFile(filepath.Join(filepath.Dir(here), "..", "..", "example", "config.json"))
+	text, err := os.ReadFile(filepath.Join(filepath.Dir(here), "..", "..", "example", name))
 	if err != nil {
 		t.Fatal(err)
 	}
+	return string(text)
+}
+
+// New starts a core with the example's settings, until the test ends.
+func New(t *testing.T, opt routing.Options) *routing.Core {
+	t.Helper()
 	var config struct {
 		Settings json.RawMessage `json:"settings"`
 	}
-	if err := json.Unmarshal(text, &config); err != nil {
+	if err := json.Unmarshal([]byte(Example(t, "config.json")), &config); err != nil {
 		t.Fatal(err)
 	}
+	var err error
 	if opt.Settings, err = wire.Settings(string(config.Settings)); err != nil {
 		t.Fatal(err)
 	}
--- a/program/control_test.go
+++ b/program/control_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"quincerail.example/quincerail/internal/coretest"
 	"quincerail.example/quincerail/internal/standin"
 	"quincerail.example/quincerail/program"
 )
@@ -74,7 +75,7 @@
 	var running *program.Config
 	w := newWorld(t, func(c *program.Config) { running = c })
 	renamed := func(old, new string) *program.Config {
-		text := string(must(os.ReadFile(filepath.Join("..", "example", "config.json")))(t))
+		text := coretest.Example(t, "config.json")
 		c := must(program.ParseConfig(strings.Replace(text, old, new, 1)))(t)
 		c.Processor, c.Ledger, c.Announce = running.Processor, running.Ledger, running.Announce
 		return c
--- a/program/suite_test.go
+++ b/program/suite_test.go
@@ -5,8 +5,6 @@
 	"fmt"
 	"net"
 	"net/http"
-	"os"
-	"path/filepath"
 	"slices"
 	"strings"
 	"sync"
@@ -16,6 +14,7 @@
 	"quincerail.example/quincerail/admission"
 	"quincerail.example/quincerail/describe"
 	"quincerail.example/quincerail/example/web/gifts"
+	"quincerail.example/quincerail/internal/coretest"
 	"quincerail.example/quincerail/internal/standin"
 	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/program"
@@ -40,14 +39,7 @@
 // loadConfig gives the example's configuration, listening on any port.
 func loadConfig(t testing.TB) *program.Config {
 	t.Helper()
-	text, err := os.ReadFile(filepath.Join("..", "example", "config.json"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	c, err := program.ParseConfig(string(text))
-	if err != nil {
-		t.Fatal(err)
-	}
+	c := must(program.ParseConfig(coretest.Example(t, "config.json")))(t)
 	c.Listen, c.Control = "127.0.0.1:0", ""
 	return c
 }
--- a/program/tenants_test.go
+++ b/program/tenants_test.go
@@ -1,13 +1,12 @@
 package program_test
 
 import (
-	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"testing"
 	"time"
 
+	"quincerail.example/quincerail/internal/coretest"
 	"quincerail.example/quincerail/internal/standin"
 	"quincerail.example/quincerail/program"
 )
@@ -16,7 +15,7 @@
 // how long they wait, changed in places. The addresses stay.
 func withTenants(t testing.TB, change ...string) func(*program.Config) {
 	return func(c *program.Config) {
-		text := string(must(os.ReadFile(filepath.Join("..", "example", "tenants.json")))(t))
+		text := coretest.Example(t, "tenants.json")
 		next := must(program.ParseConfig(strings.NewReplacer(change...).Replace(text)))(t)
 		next.Listen, next.Control, next.Processor, next.Ledger, next.Announce =
 			c.Listen, c.Control, c.Processor, c.Ledger, c.Announce
