--- a/routing/tuning_test.go
+++ b/routing/tuning_test.go
@@ -10,14 +10,21 @@
 	"quincerail.example/quincerail/decision"
 )
 
-// retune has a core take over other settings.
-func (p *party) retune(s decision.Settings, names ...string) error {
+// retune has a core take over other settings, without tenants.
+func (p *party) retune(s decision.Settings, names ...string) error { return p.retuneBoth(s, names, nil) }
+
+func (p *party) retuneBoth(s decision.Settings, classes, tenants []string) error {
 	result := make(chan error, 1)
-	go func() { result <- p.Retune(s, names, nil) }()
+	go func() { result <- p.Retune(s, classes, tenants) }()
 	p.wait()
 	return <-result
 }
 
+// read hands in a tenant's request of the class read.
+func (p *party) read(id, tenant string) error {
+	return p.Submit(Request{ID: id, Class: "read", Tenant: tenant, Door: time.Now(), HeldKB: 20, Sink: sink{p}})
+}
+
 // TestRetune guards what is open against settings that change around it: it
 // keeps its class's time though the class is dropped. From then on requests may
 // have the new classes and not the dropped one, and one that comes back goes on.
@@ -74,10 +81,7 @@
 			for i := range names {
 				s.Tenants = append(s.Tenants, decision.Tenant{Quota: float64(i + 1)})
 			}
-			result := make(chan error, 1)
-			go func() { result <- p.Retune(s, []string{"read", "gift", "receipt"}, names) }()
-			p.wait()
-			return <-result
+			return p.retuneBoth(s, []string{"read", "gift", "receipt"}, names)
 		}
 		places := map[string]int{"": 0} // of the tenants that have been, and of none
 		for _, table := range [][]string{{"a", "b"}, {"b", "c", "a"}, {}, {"c"}, {"d", "b"}, {}} {
@@ -136,8 +140,7 @@
 		p.post(func() { <-gate })
 		p.post(func() { retuned <- p.Core.retune(next, []string{"read", "gift", "receipt"}, []string{"c", "b"}) })
 		for _, tenant := range []string{"a", "b"} {
-			err := p.Submit(Request{ID: "of " + tenant, Class: "read", Tenant: tenant, Door: time.Now(), HeldKB: 20, Sink: sink{p}})
-			if err != nil {
+			if err := p.read("of "+tenant, tenant); err != nil {
 				t.Fatal(err)
 			}
 		}
@@ -151,7 +154,7 @@
 				t.Errorf("the request of %s is under another: %+v", tenant, a)
 			}
 		}
-		if p.Submit(Request{ID: "late", Class: "read", Tenant: "a", Door: time.Now(), HeldKB: 20, Sink: sink{p}}) == nil {
+		if p.read("late", "a") == nil {
 			t.Error("a tenant that is gone is taken")
 		}
 	})
@@ -168,8 +171,7 @@
 		defer p.end()
 		read := func(id, tenant string) {
 			t.Helper()
-			err := p.Submit(Request{ID: id, Class: "read", Tenant: tenant, Door: time.Now(), HeldKB: 20, Sink: sink{p}})
-			if err != nil {
+			if err := p.read(id, tenant); err != nil {
 				t.Fatal(err)
 			}
 			p.wait()
