--- a/routing/tuning_test.go
+++ b/routing/tuning_test.go
@@ -11,7 +11,9 @@
 )
 
 // retune has a core take over other settings, without tenants.
-func (p *party) retune(s decision.Settings, names ...string) error { return p.retuneBoth(s, names, nil) }
+func (p *party) retune(s decision.Settings, names ...string) error {
+	return p.retuneBoth(s, names, nil)
+}
 
 func (p *party) retuneBoth(s decision.Settings, classes, tenants []string) error {
 	result := make(chan error, 1)
