--- a/program/thrift.go
+++ b/program/thrift.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"maps"
 	"math"
 	"slices"
 	"strconv"
@@ -210,13 +211,12 @@
 	return door.Add(time.Duration(min(ms, longestLimit) * float64(time.Millisecond))), nil
 }
 
-// fields gives those that an answer carries: the free value, where there is one.
+// fields gives those that any answer carries: the free value, where there is one.
 func (t *thriftConn) fields() map[string]string {
-	fields := make(map[string]string, 3)
 	if value, ok := t.core.Said(); ok {
-		fields["feedback"] = strconv.FormatFloat(max(0, value), 'f', 4, 64)
+		return map[string]string{"feedback": strconv.FormatFloat(max(0, value), 'f', 4, 64)}
 	}
-	return fields
+	return nil
 }
 
 // Answer implements routing.Sink.
@@ -236,8 +236,8 @@
 		t.conn.Send(thrift.AppendAnswer(nil, "execute", seq, thrift.Answer{Body: o.Result.Body, Fields: t.fields(), Good: true}))
 	case routing.Refused:
 		// A refusal always says when to come back, be it at once.
-		fields := t.fields()
-		fields["later"] = strconv.FormatInt(max(1, o.Later.Milliseconds()), 10)
+		fields := map[string]string{"later": strconv.FormatInt(max(1, o.Later.Milliseconds()), 10)}
+		maps.Copy(fields, t.fields())
 		if o.GiveUp {
 			fields["giveup"] = "1"
 		}
