--- a/program/export_test.go
+++ b/program/export_test.go
@@ -3,12 +3,6 @@
 // Kill ends a server at once, at the end of a test: one that went on would dial the
 // addresses of its parties when they are others' already.
 func (s *Server) Kill() {
-	for _, d := range s.doors {
-		d.server.Close()
-	}
-	if s.control != nil {
-		s.control.Close()
-	}
-	s.closeHTTP()
+	s.closeListeners()
 	s.stop()
 }
--- a/program/program.go
+++ b/program/program.go
@@ -142,11 +142,18 @@
 			watch.watchFleet(member)
 		}
 	}
+	var s *Server
 	started := false
 	defer func() {
-		if !started && member != nil {
+		if started {
+			return
+		}
+		if member != nil {
 			member.Stop(0)
 		}
+		if s != nil {
+			s.closeListeners()
+		}
 	}()
 	var budgeted *downstream.Budgeted
 	if member != nil && member.Budget(fleet.Calls) != nil {
@@ -173,7 +180,7 @@
 	if c.Rules != nil {
 		rules.Replace(c.Rules)
 	}
-	s := &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules), idle: idle,
+	s = &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules), idle: idle,
 		rules: rules, keys: keys, log: logger, fleet: member, tally: counted, watch: watch, file: c}
 	s.config.Store(c)
 	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
@@ -182,7 +189,6 @@
 	if c.Control != "" {
 		l, err := net.Listen("tcp", c.Control)
 		if err != nil {
-			s.doors[0].server.Close()
 			return nil, fmt.Errorf("control: %w", err)
 		}
 		s.log.Info("control", "address", l.Addr().String())
@@ -192,15 +198,10 @@
 		s.backend = backend.NewUWSGI(core, u.Backend)
 		s.uwsgi = newUWSGIFront(core, s.backend, u, rules)
 		if err := s.listen("uwsgi listen", u.Listen, 0, int(float64(c.Sockets)*uwsgiShare), s.uwsgi); err != nil {
-			s.doors[0].server.Close()
 			return nil, err
 		}
 	}
 	if err := s.listenHTTP(c, watch); err != nil {
-		for _, d := range s.doors {
-			d.server.Close()
-		}
-		s.closeHTTP()
 		return nil, err
 	}
 	if s.control != nil {
@@ -246,6 +247,17 @@
 	return nil
 }
 
+// closeListeners ends what Start has opened to callers.
+func (s *Server) closeListeners() {
+	for _, d := range s.doors {
+		d.server.Close()
+	}
+	if s.control != nil {
+		s.control.Close()
+	}
+	s.closeHTTP()
+}
+
 func (s *Server) closeHTTP() {
 	for _, hs := range s.operators {
 		hs.Close()
