--- a/routing/crossing_test.go
+++ b/routing/crossing_test.go
@@ -83,6 +83,21 @@
 	}
 }
 
+// overtaken has new settings come between the reading of requests and their taking
+// in: in one batch, and first.
+func (p *party) overtaken(t *testing.T, s decision.Settings, classes, tenants []string, read func()) {
+	t.Helper()
+	gate, retuned := make(chan struct{}), make(chan error, 1)
+	p.post(func() { <-gate })
+	p.post(func() { retuned <- p.Core.retune(s, classes, tenants) })
+	read()
+	close(gate)
+	p.wait()
+	if err := <-retuned; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // TestSettingsCrossRequest: requests that were handed in under settings which new
 // ones overtake come under these, and keep to their old class where it is gone. No
 // class that must run once takes one without a key.
@@ -92,21 +107,14 @@
 		next.Classes = slices.Clone(next.Classes)
 		next.Classes[0].Effect = decision.Keyed // of read
 		next.Classes[1].Deadline = time.Second  // of pledge
-		gate := make(chan struct{})
-		p.post(func() { <-gate })
-		retuned := make(chan error, 1)
-		p.post(func() { retuned <- p.Core.retune(next, []string{"read", "pledge", "receipt"}, nil) })
-		for _, r := range []Request{{ID: "keyless", Class: "read"}, {ID: "keyed", Class: "read", Key: "a"}, {ID: "dropped", Class: "gift", Key: "b"}} {
-			r.Door, r.HeldKB, r.Sink = time.Now(), 20, sink{p}
-			if err := p.Submit(r); err != nil {
-				t.Fatal(err)
+		p.overtaken(t, next, []string{"read", "pledge", "receipt"}, nil, func() {
+			for _, r := range []Request{{ID: "keyless", Class: "read"}, {ID: "keyed", Class: "read", Key: "a"}, {ID: "dropped", Class: "gift", Key: "b"}} {
+				r.Door, r.HeldKB, r.Sink = time.Now(), 20, sink{p}
+				if err := p.Submit(r); err != nil {
+					t.Fatal(err)
+				}
 			}
-		}
-		close(gate)
-		p.wait()
-		if err := <-retuned; err != nil {
-			t.Fatal(err)
-		}
+		})
 		p.wantAnswer(t, "keyless", Rejected, "")
 		if p.runs["keyless"] != 0 || p.runs["keyed"] != 1 || p.runs["dropped"] != 1 {
 			t.Errorf("runs %v", p.runs)
--- a/routing/tuning_test.go
+++ b/routing/tuning_test.go
@@ -138,19 +138,13 @@
 		defer p.end()
 		next := settings()
 		next.Tenants = []decision.Tenant{{Quota: 2}, {Quota: 1}}
-		gate, retuned := make(chan struct{}), make(chan error, 1)
-		p.post(func() { <-gate })
-		p.post(func() { retuned <- p.Core.retune(next, []string{"read", "gift", "receipt"}, []string{"c", "b"}) })
-		for _, tenant := range []string{"a", "b"} {
-			if err := p.read("of "+tenant, tenant); err != nil {
-				t.Fatal(err)
+		p.overtaken(t, next, []string{"read", "gift", "receipt"}, []string{"c", "b"}, func() {
+			for _, tenant := range []string{"a", "b"} {
+				if err := p.read("of "+tenant, tenant); err != nil {
+					t.Fatal(err)
+				}
 			}
-		}
-		close(gate)
-		p.wait()
-		if err := <-retuned; err != nil {
-			t.Fatal(err)
-		}
+		})
 		for place, tenant := range []string{"a", "b"} {
 			if a := p.attempts["of "+tenant]; a == nil || a.tenant != place {
 				t.Errorf("the request of %s is under another: %+v", tenant, a)
