Serve operators' calls about the fleet by one door

changesDoor and votersDoor had the same switch over GET, POST and DELETE, the same bound on time and the same answers; fleetDoor has them once, and each says what it asks for, how long a body may be and how it is read. Paths, statuses and texts are as before.

--- a/program/changes.go
+++ b/program/changes.go
@@ -8,6 +8,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"net/url"
 	"slices"
 	"sync"
 	"time"
@@ -151,67 +152,73 @@
 	Settings json.RawMessage `json:"settings,omitempty"`
 }
 
-// changesDoor is where operators call about rollouts, over HTTP, at the path
-// /changes:
-//
-//	GET     a fleet.ChangeStatus
-//	POST    a ChangeRequest
-//	DELETE  halts the plan of the query's id, with its reason
-//
-// 409 and a line say why an order was turned down; 421 that this process is no
+// newChangesDoor is where operators call about rollouts, at the path /changes: GET
+// a fleet.ChangeStatus, POST a ChangeRequest, DELETE halts the plan of the query's
+// id, with its reason.
+func newChangesDoor(f *fleet.Fleet) *fleetDoor {
+	return &fleetDoor{
+		tell:     func() (any, error) { return f.Change() },
+		mostBody: 4 << 20,
+		begin: func(ctx context.Context, body *json.Decoder) error {
+			var c ChangeRequest
+			body.DisallowUnknownFields()
+			if err := body.Decode(&c); err != nil {
+				return badBody{err}
+			}
+			return f.StartChange(ctx, c.Plan, c.Settings)
+		},
+		end: func(ctx context.Context, query url.Values) error {
+			return f.StopChange(ctx, query.Get("id"), query.Get("reason"))
+		},
+	}
+}
+
+// fleetDoor is where operators call about something of the fleet, over HTTP: GET tells
+// how it stands, in JSON, POST begins something, DELETE ends it. 409 and a line say why
+// an order was turned down; 400 that it makes no sense; 421 that this process is no
 // voter; 503 that the fleet's log does not take orders now.
-type changesDoor struct{ fleet *fleet.Fleet }
+type fleetDoor struct {
+	tell     func() (any, error)
+	mostBody int64 // bytes that POST brings
+	begin    func(ctx context.Context, body *json.Decoder) error
+	end      func(ctx context.Context, query url.Values) error
+}
+
+// badBody is why an order makes no sense.
+type badBody struct{ error }
 
 // ServeHTTP implements http.Handler.
-func (d changesDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := askContext(r)
+func (d *fleetDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	ctx, cancel := context.WithTimeout(r.Context(), askWithin)
 	defer cancel()
 	var err error
 	switch r.Method {
 	case http.MethodGet:
-		var s fleet.ChangeStatus
-		if s, err = d.fleet.Change(); err == nil {
-			answerJSON(w, s)
+		var v any
+		if v, err = d.tell(); err == nil {
+			w.Header().Set("Content-Type", "application/json")
+			json.NewEncoder(w).Encode(v) // to one who has left, if it fails
 			return
 		}
 	case http.MethodPost:
-		var c ChangeRequest
-		in := json.NewDecoder(http.MaxBytesReader(w, r.Body, 4<<20))
-		in.DisallowUnknownFields()
-		if err = in.Decode(&c); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		err = d.fleet.StartChange(ctx, c.Plan, c.Settings)
+		err = d.begin(ctx, json.NewDecoder(http.MaxBytesReader(w, r.Body, d.mostBody)))
 	case http.MethodDelete:
-		err = d.fleet.StopChange(ctx, r.URL.Query().Get("id"), r.URL.Query().Get("reason"))
+		err = d.end(ctx, r.URL.Query())
 	default:
-		refuseMethod(w, r)
+		w.Header().Set("Allow", "GET, POST, DELETE")
+		http.Error(w, r.Method, http.StatusMethodNotAllowed)
 		return
 	}
 	answer(w, err)
 }
 
-// askContext bounds what an operator's call waits for.
-func askContext(r *http.Request) (context.Context, context.CancelFunc) {
-	return context.WithTimeout(r.Context(), askWithin)
-}
-
-func answerJSON(w http.ResponseWriter, v any) {
-	w.Header().Set("Content-Type", "application/json")
-	json.NewEncoder(w).Encode(v) // to one who has left, if it fails
-}
-
-func refuseMethod(w http.ResponseWriter, r *http.Request) {
-	w.Header().Set("Allow", "GET, POST, DELETE")
-	http.Error(w, r.Method, http.StatusMethodNotAllowed)
-}
-
 // answer tells what came of an operator's order.
 func answer(w http.ResponseWriter, err error) {
 	switch {
 	case err == nil:
 		w.WriteHeader(http.StatusNoContent)
+	case errors.As(err, &badBody{}):
+		http.Error(w, err.Error(), http.StatusBadRequest)
 	case errors.Is(err, fleet.ErrNoVoter):
 		http.Error(w, err.Error(), http.StatusMisdirectedRequest)
 	case errors.Is(err, context.DeadlineExceeded):
--- a/program/program.go
+++ b/program/program.go
@@ -236,8 +236,8 @@
 	}
 	if c.OperatorsListen != "" && s.fleet != nil {
 		mux := http.NewServeMux()
-		mux.Handle("/changes", changesDoor{s.fleet})
-		mux.Handle("/voters", votersDoor{s.fleet})
+		mux.Handle("/changes", newChangesDoor(s.fleet))
+		mux.Handle("/voters", newVotersDoor(s.fleet))
 		hs, _, err := serveHTTP("operators", c.OperatorsListen, mux, s.log)
 		if err != nil {
 			return err
--- a/program/voters.go
+++ b/program/voters.go
@@ -1,9 +1,10 @@
 package program
 
 import (
+	"context"
 	"encoding/json"
 	"errors"
-	"net/http"
+	"net/url"
 
 	"quincerail.example/quincerail/fleet"
 )
@@ -14,41 +15,23 @@
 	Address string `json:"address"` // where the other voters reach it
 }
 
-// votersDoor is where operators call about the fleet's voters, over HTTP, at the
-// path /voters, with the answers of changesDoor:
-//
-//	GET     a list of fleet.VoterStatus
-//	POST    a VoterRequest: the voter joins
-//	DELETE  the voter of the query's name leaves for good
-type votersDoor struct{ fleet *fleet.Fleet }
-
-// ServeHTTP implements http.Handler.
-func (d votersDoor) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	ctx, cancel := askContext(r)
-	defer cancel()
-	var err error
-	switch r.Method {
-	case http.MethodGet:
-		var voters []fleet.VoterStatus
-		if voters, err = d.fleet.Voters(); err == nil {
-			answerJSON(w, voters)
-			return
-		}
-	case http.MethodPost:
-		var v VoterRequest
-		if err = json.NewDecoder(http.MaxBytesReader(w, r.Body, 4096)).Decode(&v); err == nil && (v.Name == "" || v.Address == "") {
-			err = errors.New("a name and an address wanted")
-		}
-		if err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
-			return
-		}
-		err = d.fleet.AddVoter(ctx, v.Name, v.Address)
-	case http.MethodDelete:
-		err = d.fleet.RemoveVoter(ctx, r.URL.Query().Get("name"))
-	default:
-		refuseMethod(w, r)
-		return
+// newVotersDoor is where operators call about the fleet's voters, at the path
+// /voters: GET a list of fleet.VoterStatus, POST a VoterRequest (the voter joins),
+// DELETE the voter of the query's name leaves for good.
+func newVotersDoor(f *fleet.Fleet) *fleetDoor {
+	return &fleetDoor{
+		tell:     func() (any, error) { return f.Voters() },
+		mostBody: 4096,
+		begin: func(ctx context.Context, body *json.Decoder) error {
+			var v VoterRequest
+			if err := body.Decode(&v); err != nil {
+				return badBody{err}
+			}
+			if v.Name == "" || v.Address == "" {
+				return badBody{errors.New("a name and an address wanted")}
+			}
+			return f.AddVoter(ctx, v.Name, v.Address)
+		},
+		end: func(ctx context.Context, query url.Values) error { return f.RemoveVoter(ctx, query.Get("name")) },
 	}
-	answer(w, err)
 }
