Have a rollout test that waits in vain say what the rollout waits for

TestRolloutWorse failed once in 17 plays with -race, baking for two minutes without a verdict; 16 others passed, eight of them with four cores taken. Nothing in its logs says whether the changed server's reports or its callers were missing, so the cause is not known.

--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -100,7 +100,8 @@
 		return (voter == "" || l.Child == voter) && l.Event == "rollout" && l.Fields["phase"] == phase && (stage == "" || l.Fields["stage"] == stage)
 	})
 	if err != nil {
-		r.t.Fatal(err)
+		status, _ := r.operator("v1", "rollout status")
+		r.t.Fatalf("%v\n%s", err, status)
 	}
 	return l
 }
