Log and count why balancers' connections end, and the phases of a drain

Cause: neither case of the incident has a line about a client's connection, so the loss can't be dated. Change: transport reports why a connection ended, what part of a message was there and what was dropped after the half-close; the Thrift front logs it (warning where the program itself ended it over bytes not taken or requests not answered, else debug) and counts it in quincerail_connections_ended_total{reason}; a drain logs its phases with the number of open requests.

--- a/program/fronts_test.go
+++ b/program/fronts_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"log/slog"
 	"net"
 	"strings"
 	"testing"
@@ -63,7 +64,7 @@
 	}
 	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
 		b := newInstant(t)
-		front := newThriftFront(b.core, &match.Rules{})
+		front := newThriftFront(b.core, &match.Rules{}, slog.Default(), nil)
 		far, ended := dial(front)
 		replies := make(map[int32]int)
 		read := make(chan struct{})
@@ -280,7 +281,7 @@
 func TestThriftCrowded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newInstant(t)
-		front := newThriftFront(b.core, &match.Rules{})
+		front := newThriftFront(b.core, &match.Rules{}, slog.Default(), nil)
 		said := make(map[string]chan string) // what each connection hears, until it ends
 		open := func(name string, says []byte) {
 			far, _ := dial(front)
@@ -352,7 +353,7 @@
 func TestThriftFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newInstant(t)
-		far, ended := dial(newThriftFront(b.core, &match.Rules{}))
+		far, ended := dial(newThriftFront(b.core, &match.Rules{}, slog.Default(), nil))
 		r := bufio.NewReader(far)
 		good := map[string]string{"verb": "kampanjsida", "txn": "0000000000000001", "lb": "1", "ram": "1", "standing": "0"}
 		seq := int32(0)
--- a/program/metrics.go
+++ b/program/metrics.go
@@ -11,6 +11,7 @@
 
 	"quincerail.example/quincerail/fleet"
 	"quincerail.example/quincerail/routing"
+	"quincerail.example/quincerail/transport"
 )
 
 // kindNames are the answers' kinds as the metrics label them.
@@ -24,6 +25,7 @@
 //	                                        class (dropped) holds what came under classes that are gone since
 //	quincerail_repeats_total{class}         of those served, the ones with another try's result
 //	quincerail_answer_seconds{class,kind}   from a request's coming to its answer
+//	quincerail_connections_ended_total{reason}  of balancers, by why they ended
 //	quincerail_open_requests                handed in and not answered yet: held, waiting and running
 //	quincerail_fleet_alive                  members of the fleet that are thought to be alive
 //	quincerail_fleet_owner                  1 while this process owns the lease on the registry's judgement
@@ -40,6 +42,7 @@
 	answers  *prometheus.CounterVec
 	repeats  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
+	ended    *prometheus.CounterVec
 	count    func(kind string) // for the whole fleet
 	classes  []string          // in force; of the server's reloads alone
 }
@@ -68,7 +71,9 @@
 			Help:    "Time from a request's coming to its final answer.",
 			Buckets: []float64{0.01, 0.05, 0.1, 0.25, 0.5, 1, 1.8, 2.8, 5, 10}}, []string{"class", "kind"}),
 	}
-	m.registry.MustRegister(m.answers, m.repeats, m.latency,
+	m.ended = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "quincerail_connections_ended_total",
+		Help: "Connections of balancers that ended, by reason."}, []string{"reason"})
+	m.registry.MustRegister(m.answers, m.repeats, m.latency, m.ended,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "quincerail_open_requests",
 			Help: "Requests handed in and not answered yet."}, func() float64 {
 			if c := m.core.Load(); c != nil {
@@ -146,6 +151,13 @@
 	}
 }
 
+// connectionEnded counts a connection's end; a nil receiver counts nothing.
+func (m *metrics) connectionEnded(reason transport.EndReason) {
+	if m != nil {
+		m.ended.WithLabelValues(string(reason)).Inc()
+	}
+}
+
 // handler offers /metrics.
 func (m *metrics) handler() http.Handler {
 	mux := http.NewServeMux()
--- a/program/program.go
+++ b/program/program.go
@@ -179,7 +179,7 @@
 	if c.Rules != nil {
 		rules.Replace(c.Rules)
 	}
-	s = &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules), idle: idle,
+	s = &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules, logger, watch), idle: idle,
 		rules: rules, keys: keys, log: logger, fleet: member, tally: counted, watch: watch, file: c}
 	s.config.Store(c)
 	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
@@ -439,6 +439,7 @@
 	stopAt := time.Now().Add(config.Stop)
 	s.log.Info("drain", "stop_in", config.Stop.String())
 	s.core.Drain(stopAt)
+	s.phase("leaving")
 	for _, d := range s.doors {
 		d.front.leave()
 	}
@@ -448,6 +449,7 @@
 	case <-answered:
 		answered = time.After(0) // the next phase is over at once
 	}
+	s.phase("refusing")
 	for i, d := range s.doors {
 		if i > 0 || s.handover == nil {
 			d.server.Shut()
@@ -458,6 +460,7 @@
 	select {
 	case <-empty:
 	case <-answered:
+		s.phase("closing")
 		for _, d := range s.doors {
 			d.server.Close()
 			d.front.finish()
@@ -465,11 +468,21 @@
 		select {
 		case <-empty:
 		case <-time.After(time.Until(stopAt.Add(-exitMargin))):
-			s.log.Info("stopped", "connections", "open")
+			s.stopped("open")
 			return
 		}
 	}
-	s.log.Info("stopped", "connections", "closed")
+	s.stopped("closed")
+}
+
+// phase logs that a drain enters a phase.
+func (s *Server) phase(name string) {
+	s.log.Info("drain_phase", "phase", name, "open_requests", s.core.Open())
+}
+
+// stopped logs that the process may end, and whether connections are still open.
+func (s *Server) stopped(connections string) {
+	s.log.Info("stopped", "connections", connections, "open_requests", s.core.Open())
 }
 
 // empty is closed once no door lets in any more and the last connection has ended.
@@ -543,9 +556,9 @@
 			}
 			continue
 		case <-done:
-			s.log.Info("stopped", "connections", "closed")
+			s.stopped("closed")
 		case <-last:
-			s.log.Info("stopped", "connections", "open")
+			s.stopped("open")
 		}
 		break
 	}
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
+	"log/slog"
 	"maps"
 	"math"
 	"slices"
@@ -32,8 +34,11 @@
 type thriftFront struct {
 	core  *routing.Core
 	rules *match.Rules
+	log   *slog.Logger
 	conns registry[*thriftConn]
 
+	observer *metrics // nil where there is no listener for them
+
 	leaving   atomic.Bool // leave is taken of all, also of those that come now
 	newcomers int         // since room was made; both belong to the accepting goroutine
 	roomMade  time.Time
@@ -56,8 +61,8 @@
 	leaving time.Time // when that was said; zero before
 }
 
-func newThriftFront(core *routing.Core, rules *match.Rules) *thriftFront {
-	return &thriftFront{core: core, rules: rules, conns: newRegistry[*thriftConn]()}
+func newThriftFront(core *routing.Core, rules *match.Rules, log *slog.Logger, observer *metrics) *thriftFront {
+	return &thriftFront{core: core, rules: rules, log: log, observer: observer, conns: newRegistry[*thriftConn]()}
 }
 
 // serve works one connection. Requests still open when it ends have lost their
@@ -78,12 +83,29 @@
 		}
 		return t.take(m)
 	})
-	t.lose() // also where a write failed
+	lost := t.lose() // also where a write failed
+	f.ended(c, lost)
+}
+
+// ended reports a connection's end. One that ends over bytes that were not taken, or
+// with requests that have no answer, is logged whatever the level: a request may have
+// been lost with it.
+func (f *thriftFront) ended(c *transport.Conn, lost int) {
+	end := c.End()
+	f.observer.connectionEnded(end.Reason)
+	level := slog.LevelDebug
+	ownDecision := end.Reason != transport.PeerClosed && end.Reason != transport.PeerFailed
+	if ownDecision && (lost > 0 || end.Partial > 0 || end.Discarded > 0) {
+		level = slog.LevelWarn
+	}
+	f.log.Log(context.Background(), level, "connection_ended", "reason", string(end.Reason), "peer", c.PeerAddr(),
+		"open_for", c.Age().Round(time.Millisecond).String(), "unanswered", lost, "partial_bytes", end.Partial,
+		"discarded_bytes", end.Discarded)
 }
 
 // lose gives up what is open as the connection ends. A caller that has only shut
-// its writing end still reads, and is told so.
-func (t *thriftConn) lose() {
+// its writing end still reads, and is told so. It returns how many were open.
+func (t *thriftConn) lose() (open int) {
 	t.mu.Lock()
 	lost := t.open
 	t.open, t.ids = make(map[string]int32), make(map[int32]string)
@@ -94,6 +116,7 @@
 	for id := range lost {
 		t.core.Lost(id, t)
 	}
+	return len(lost)
 }
 
 func (t *thriftConn) take(m *thrift.Message) error {
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -76,6 +76,8 @@
 	ending   func(error)   // called before the last flush
 	spoken   bool          // a whole message has come
 	drain    time.Duration // that the peer has to end its side, after the half-close
+	end      Ending
+	opened   time.Time
 }
 
 // source is where a connection's bytes come from. It belongs to its goroutine.
@@ -148,7 +150,8 @@
 // NewConn wraps a network connection. Serve must be called to work it.
 func NewConn(nc net.Conn) *Conn {
 	src := &source{nc: nc}
-	c := &Conn{nc: nc, src: src, r: bufio.NewReaderSize(src, readBuffer), last: time.Now(), drain: drainFor}
+	now := time.Now()
+	c := &Conn{nc: nc, src: src, r: bufio.NewReaderSize(src, readBuffer), last: now, drain: drainFor, opened: now}
 	src.halfRead = func() bool { return c.r.Buffered() > 0 }
 	return c
 }
@@ -275,11 +278,11 @@
 	defer c.close()
 	for {
 		if err := c.flush(); err != nil {
-			return err
+			return c.abort(err)
 		}
 		done, look := c.next()
 		if done {
-			return c.halfClose(nil)
+			return c.halfClose(Closed, nil)
 		}
 		c.src.nowait = look
 		err := c.expect()
@@ -292,12 +295,12 @@
 			c.taken()
 		case errors.Is(err, os.ErrDeadlineExceeded) && (!c.Expired() || c.extend()):
 			if look && c.settle(c.r.Buffered() > 0) {
-				return c.goDeaf(nil)
+				return c.goDeaf(Idle, nil)
 			}
 		case c.src.err == nil && c.owes(): // the message makes no sense, and others are owed answers
-			return c.goDeaf(err)
+			return c.goDeaf(c.reason(err), err)
 		default:
-			return c.halfClose(err)
+			return c.halfClose(c.reason(err), err)
 		}
 	}
 }
@@ -325,7 +328,7 @@
 
 // goDeaf reads and drops what comes until nothing is owed any more, then ends the
 // connection. It gives the error that it is called with.
-func (c *Conn) goDeaf(why error) error {
+func (c *Conn) goDeaf(reason EndReason, why error) error {
 	c.mu.Lock()
 	c.state = deaf
 	c.mu.Unlock()
@@ -334,14 +337,14 @@
 		c.deadline = time.Now().Add(owedEvery)
 		c.mu.Unlock()
 		if err := c.flush(); err != nil {
-			return err
+			return c.abort(err)
 		}
 		if _, err := c.r.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return c.halfClose(err)
+			return c.halfClose(c.reason(err), err)
 		}
-		c.r.Discard(c.r.Buffered())
+		c.discard()
 	}
-	return c.halfClose(why)
+	return c.halfClose(reason, why)
 }
 
 // expect waits for a message's first byte, from which on its time counts.
@@ -390,7 +393,8 @@
 // halfClose writes what is queued, shuts the writing end and reads to the peer's
 // end, for a bounded time: a close over unread bytes would reset the connection
 // and could take the last answers away. It gives the error that it is called with.
-func (c *Conn) halfClose(why error) error {
+func (c *Conn) halfClose(reason EndReason, why error) error {
+	c.end.Reason, c.end.Partial = reason, c.r.Buffered()
 	if c.ending != nil {
 		c.ending(why)
 	}
@@ -398,7 +402,7 @@
 	c.state = closing // what comes to be sent from here on is told so
 	c.mu.Unlock()
 	if err := c.flush(); err != nil {
-		return cmp.Or(why, err)
+		return cmp.Or(why, c.abort(err))
 	}
 	c.mu.Lock()
 	c.state = halfClosed
@@ -409,7 +413,7 @@
 	c.nc.SetReadDeadline(time.Now().Add(c.drain))
 	c.mu.Unlock()
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		io.Copy(io.Discard, c.src)
+		c.end.Discarded, _ = io.Copy(io.Discard, c.src)
 	}
 	return why
 }
--- /dev/null
+++ b/transport/ending.go
@@ -0,0 +1,78 @@
+package transport
+
+import (
+	"errors"
+	"io"
+	"os"
+	"syscall"
+	"time"
+)
+
+// EndReason says why a connection ended. Its values are labels of metrics and logs.
+type EndReason string
+
+// The reasons.
+const (
+	PeerClosed  EndReason = "peer_closed"  // the peer shut its writing end
+	PeerFailed  EndReason = "peer_failed"  // the connection was reset, or a read failed
+	BadMessage  EndReason = "bad_message"  // the peer sent what is no message
+	ReadTimeout EndReason = "read_timeout" // no whole message came in time
+	Idle        EndReason = "idle"         // it was asked to end, and nothing was open on it
+	Closed      EndReason = "closed"       // it was asked to end whatever comes
+	WriteFailed EndReason = "write_failed" // what was queued could not be written
+	CutOff      EndReason = "cut_off"      // it was ended at once, or its peer left too much unread
+)
+
+// Ending is how a connection ended. Bytes that were not taken are what a request may
+// have been lost with.
+type Ending struct {
+	Reason    EndReason
+	Partial   int   // bytes of a message that was not whole when reading ended
+	Discarded int64 // bytes that came later and were dropped
+}
+
+// End reports how the connection ended. It holds once Serve has returned.
+func (c *Conn) End() Ending { return c.end }
+
+// reason classifies the error that ended the reading.
+func (c *Conn) reason(err error) EndReason {
+	switch {
+	case errors.Is(err, io.EOF):
+		return PeerClosed
+	case c.src.err != nil:
+		return PeerFailed
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return ReadTimeout
+	}
+	return BadMessage
+}
+
+// abort records that the connection ends because a flush failed. It returns the
+// error that it is called with.
+func (c *Conn) abort(err error) error {
+	c.end.Reason = WriteFailed
+	switch {
+	case errors.Is(err, ErrCutOff):
+		c.end.Reason = CutOff
+	case errors.Is(err, syscall.ECONNRESET), errors.Is(err, syscall.EPIPE):
+		c.end.Reason = PeerFailed
+	}
+	return err
+}
+
+// discard drops what is buffered, and counts it.
+func (c *Conn) discard() {
+	n, _ := c.r.Discard(c.r.Buffered()) // what is buffered can be discarded
+	c.end.Discarded += int64(n)
+}
+
+// PeerAddr is the peer's address.
+func (c *Conn) PeerAddr() string {
+	if addr := c.nc.RemoteAddr(); addr != nil {
+		return addr.String()
+	}
+	return ""
+}
+
+// Age is how long ago the connection was taken in.
+func (c *Conn) Age() time.Duration { return time.Since(c.opened) }
