--- /dev/null
+++ b/internal/faultsoak/oracle.go
@@ -0,0 +1,229 @@
+package faultsoak
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"quincerail.example/quincerail/internal/standin"
+)
+
+// Terms are the figures of the rules, as the platform's settings state them.
+type Terms struct {
+	Grace       time.Duration // of a drain
+	AnswerSlack time.Duration // past the deadline
+	Window      time.Duration // of keyed classes
+}
+
+// Slacks of the platform's rules, and of a busy test machine.
+const (
+	socketSlack   = 50 * time.Millisecond  // on every time limit, and for a request that crosses a close
+	machineSlack  = 300 * time.Millisecond // clients and fakes of a test share its machine
+	goodAwayAfter = 4 * time.Second        // after which a good health check breaks the rule on draining
+)
+
+// Violation is a broken rule.
+type Violation struct {
+	Rule    string // lost, duplicate, drain, late, spoilt
+	Node    string
+	At      time.Time
+	Message string
+}
+
+// String describes the violation.
+func (v Violation) String() string { return fmt.Sprintf("%s: %s: %s", v.Rule, v.Node, v.Message) }
+
+// Report is the oracle's verdict, with counts that show what was played.
+type Report struct {
+	Violations []Violation
+	Outcomes   map[string]int // answers by kind
+	Crossed    int            // requests that crossed a close within the platform's 50 ms
+	Excused    int            // unanswered as their node crashed or their client left
+}
+
+// check is the oracle at work on one history.
+type check struct {
+	terms  Terms
+	events []Event
+	runs   []Run
+	report Report
+}
+
+// Check judges a history. runs are what the processors of all nodes began.
+func Check(h *History, runs []Run, terms Terms) Report {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	c := &check{terms: terms, events: h.events, runs: runs, report: Report{Outcomes: map[string]int{}}}
+	for _, r := range h.requests {
+		c.answers(r)
+	}
+	c.keyedRuns(h.requests)
+	c.runsInDrains(h.requests)
+	return c.report
+}
+
+func (c *check) violate(rule, node string, at time.Time, format string, args ...any) {
+	c.report.Violations = append(c.report.Violations,
+		Violation{Rule: rule, Node: node, At: at, Message: fmt.Sprintf(format, args...)})
+}
+
+// answers checks that a request has one whole answer, in time, of a run made for it.
+func (c *check) answers(r *Request) {
+	for _, a := range r.Answers {
+		c.report.Outcomes[a.Kind]++
+	}
+	switch {
+	case len(r.Answers) == 1 && r.Answers[0].Kind == "unasked":
+		c.violate("duplicate", r.Node, r.Answers[0].At, "an answer to request %d, which has one already", r.Seq)
+	case len(r.Answers) > 1:
+		c.violate("duplicate", r.Node, r.Answers[1].At, "%d answers to %q", len(r.Answers), r.Body)
+	case len(r.Answers) == 1:
+		c.answer(r, r.Answers[0])
+	default:
+		c.unanswered(r)
+	}
+}
+
+func (c *check) answer(r *Request, a Answer) {
+	if want := standin.Result(r.Body); a.Kind == "served" && a.Body != want && a.Body != "without" {
+		c.violate("spoilt", r.Node, a.At, "%q was served with %q", r.Body, a.Body)
+	}
+	if r.Written.IsZero() || r.GivenUp {
+		return
+	}
+	due := r.Door.Add(r.Deadline)
+	if r.Written.After(due) {
+		due = r.Written // never before it could be read
+	}
+	due = due.Add(c.terms.AnswerSlack + socketSlack + machineSlack)
+	if late := a.At.Sub(due) - c.pausedWithin(r.Node, r.Door, a.At); late > 0 {
+		c.violate("late", r.Node, a.At, "%q was answered %v late", r.Body, late)
+	}
+}
+
+// unanswered tells a lost request from one that nobody owes an answer.
+func (c *check) unanswered(r *Request) {
+	conn := r.Conn
+	switch {
+	case r.Written.IsZero() || r.GivenUp || conn.End == EndedByClient:
+		c.report.Excused++
+	case conn.End == StillOpen:
+		c.violate("lost", r.Node, r.Written, "%q has no answer on an open connection", r.Body)
+	case c.crashedBetween(r.Node, r.LastWriteBegan, conn.EndedAt):
+		c.report.Excused++
+	case conn.EndedAt.Sub(r.LastWriteBegan) <= socketSlack:
+		c.report.Crossed++
+	default:
+		c.violate("lost", r.Node, r.Written, "%q was written %v before its connection was %v (%v)%s", r.Body,
+			conn.EndedAt.Sub(r.LastWriteBegan).Round(time.Millisecond), conn.End, conn.Err, c.around(r.Node, conn.EndedAt))
+	}
+}
+
+// around tells what was played on a node within some seconds before a time.
+func (c *check) around(node string, at time.Time) (text string) {
+	const before = 4 * time.Second
+	for _, e := range c.events {
+		if ago := at.Sub(e.At); e.Node == node && ago > -socketSlack && ago < before {
+			text += fmt.Sprintf("; %s %v before", e.Kind, ago.Round(time.Millisecond))
+			if !e.Till.IsZero() {
+				text += fmt.Sprintf(" for %v", e.Till.Sub(e.At).Round(time.Millisecond))
+			}
+		}
+	}
+	return text
+}
+
+// pausedWithin is how long a node stood still in a span.
+func (c *check) pausedWithin(node string, from, to time.Time) (total time.Duration) {
+	for _, e := range c.events {
+		if e.Node != node || e.Kind != Paused {
+			continue
+		}
+		begin, end := e.At, e.Till
+		if begin.Before(from) {
+			begin = from
+		}
+		if end.After(to) {
+			end = to
+		}
+		total += max(0, end.Sub(begin))
+	}
+	return total
+}
+
+// crashedBetween reports whether a node was killed without notice in a span.
+func (c *check) crashedBetween(node string, from, to time.Time) bool {
+	return slices.ContainsFunc(c.events, func(e Event) bool {
+		return e.Node == node && e.Kind == Crashed && e.At.After(from.Add(-socketSlack)) && e.At.Before(to.Add(socketSlack))
+	})
+}
+
+// keyedRuns checks that no key runs twice within its window in one life of a node.
+func (c *check) keyedRuns(requests []*Request) {
+	keyed := map[string]bool{}
+	for _, r := range requests {
+		if r.Key != "" {
+			keyed[r.Body] = true
+		}
+	}
+	last := map[string]Run{}
+	for _, run := range c.runs {
+		if !keyed[run.Body] {
+			continue
+		}
+		id := run.Node + " " + run.Body
+		before, ran := last[id]
+		if ran && run.At.Sub(before.At) < c.terms.Window && !c.restartedBetween(run.Node, before.At, run.At) {
+			c.violate("duplicate", run.Node, run.At, "%q ran again after %v", run.Body, run.At.Sub(before.At))
+		}
+		last[id] = run
+	}
+}
+
+func (c *check) restartedBetween(node string, from, to time.Time) bool {
+	return slices.ContainsFunc(c.events, func(e Event) bool {
+		return e.Node == node && e.Kind == Restarted && e.At.After(from) && e.At.Before(to)
+	})
+}
+
+// runsInDrains checks that no run began for a request that came after the grace of its
+// node's drain. Requests are told apart by their bodies; where several tries share one,
+// any that came in time allows the run.
+func (c *check) runsInDrains(requests []*Request) {
+	tries := map[string][]*Request{}
+	for _, r := range requests {
+		tries[r.Node+" "+r.Body] = append(tries[r.Node+" "+r.Body], r)
+	}
+	for _, run := range c.runs {
+		notice, ok := c.noticeBefore(run.Node, run.At)
+		if !ok {
+			continue
+		}
+		last := notice.Add(c.terms.Grace + socketSlack)
+		// A pause counts where it overlaps the grace: nothing was taken in meanwhile.
+		inTime := slices.ContainsFunc(tries[run.Node+" "+run.Body], func(r *Request) bool {
+			return !r.LastWriteBegan.IsZero() && !r.LastWriteBegan.After(last)
+		})
+		if !inTime {
+			c.violate("drain", run.Node, run.At, "%q ran %v after SIGTERM; it came after the grace", run.Body,
+				run.At.Sub(notice).Round(time.Millisecond))
+		}
+	}
+}
+
+// noticeBefore gives the SIGTERM of the process that was at work at a time, if it had
+// one by then.
+func (c *check) noticeBefore(node string, at time.Time) (notice time.Time, ok bool) {
+	for _, e := range c.events {
+		if e.Node != node || e.At.After(at) {
+			continue
+		}
+		switch e.Kind {
+		case Terminated:
+			notice, ok = e.At, true
+		case Restarted:
+			ok = false
+		}
+	}
+	return notice, ok
+}
--- a/internal/standin/callers.go
+++ b/internal/standin/callers.go
@@ -207,6 +207,17 @@
 	return appendMessage(to, thrift.Call, "execute", seq, args)
 }
 
+// AppendExecuteFields appends a call of execute with just these fields.
+func AppendExecuteFields(to []byte, seq int32, fields map[string]string, body []byte) []byte {
+	args := appendString([]byte{11, 0, 2}, string(body))
+	args = append(args, 13, 0, 1, 11, 11)
+	args = binary.BigEndian.AppendUint32(args, uint32(len(fields)))
+	for name, value := range fields {
+		args = appendString(appendString(args, name), value)
+	}
+	return appendMessage(to, thrift.Call, "execute", seq, args)
+}
+
 // AppendInterrupt appends the message that a call is given up. As on the
 // platform, it has no sequence number of its own.
 func AppendInterrupt(to []byte, target int32) []byte {
