--- a/internal/faultsoak/reproduction_test.go
+++ b/internal/faultsoak/reproduction_test.go
@@ -14,6 +14,8 @@
 
 func TestMain(m *testing.M) { os.Exit(fleettest.Main(m, &binary)) }
 
+const connections = 16 // of a test of what connections lose
+
 // bench is one node with a history, for a test that plays its faults by hand.
 type bench struct {
 	*testing.T
@@ -21,15 +23,12 @@
 	history History
 }
 
-func newBench(t *testing.T, change func(config map[string]any)) *bench {
+func newBench(t *testing.T) *bench {
 	t.Helper()
 	config, err := DefaultConfig()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if change != nil {
-		change(config)
-	}
 	n, err := StartNode(NodeConfig{Name: "n1", Binary: binary, Dir: t.TempDir(), Config: config, Took: 5 * time.Millisecond})
 	if err != nil {
 		t.Fatal(err)
@@ -87,16 +86,16 @@
 	return report
 }
 
-// allAnswered fails the test for each broken rule, and if a number of requests have
-// no answer: also where the node ended the connection while they were written.
-func (b *bench) allAnswered(requests int) {
+// allAnswered fails the test for each broken rule, and if not each connection has had
+// one answer: also where the node ended it while the request was written.
+func (b *bench) allAnswered() {
 	b.Helper()
 	answers := 0
 	for _, n := range b.verdict().Outcomes {
 		answers += n
 	}
-	if answers != requests {
-		b.Errorf("%d answers to %d requests", answers, requests)
+	if answers != connections {
+		b.Errorf("%d answers to %d requests", answers, connections)
 	}
 }
 
@@ -122,90 +121,75 @@
 	}
 }
 
+// dialMany opens the test's connections.
+func (b *bench) dialMany() (clients []*Client) {
+	b.Helper()
+	for range connections {
+		clients = append(clients, b.dial())
+	}
+	return clients
+}
+
+// askAll sends a request on each connection, in pieces, and returns a function that
+// waits until all are written.
+func (b *bench) askAll(clients []*Client, pieces int, over time.Duration) (written func()) {
+	done := make(chan struct{})
+	for i, c := range clients {
+		go func() {
+			b.ask(c, Ask{Body: fmt.Sprint("request ", i), Write: inPieces(pieces, over)})
+			done <- struct{}{}
+		}()
+	}
+	return func() {
+		for range clients {
+			<-done
+		}
+	}
+}
+
 // TestConnectionsKeepRequestsThatCameUnread: a request whose last byte was written to
 // an open connection is answered, although the process stood still while it came, or
 // its client took its time, or connections were scarce.
 func TestConnectionsKeepRequestsThatCameUnread(t *testing.T) {
-	const connections = 16
 	t.Run("first request comes while the process stands still", func(t *testing.T) {
 		t.Parallel()
-		b := newBench(t, nil)
-		var clients []*Client
-		for range connections {
-			clients = append(clients, b.dial())
-		}
+		b := newBench(t)
+		clients := b.dialMany()
 		time.Sleep(900 * time.Millisecond)
-		b.pause(2600*time.Millisecond, func() {
-			for i, c := range clients {
-				b.ask(c, Ask{Body: fmt.Sprint("first ", i)})
-			}
-		})
+		b.pause(2600*time.Millisecond, func() { b.askAll(clients, 1, 0)() })
 		await(clients)
-		b.verdict()
+		b.allAnswered()
 	})
 	t.Run("second half comes while the process stands still", func(t *testing.T) {
 		t.Parallel()
-		b := newBench(t, nil)
-		var clients []*Client
-		done := make(chan struct{})
-		for i := range connections {
-			c := b.dial()
-			clients = append(clients, c)
-			go func() {
-				b.ask(c, Ask{Body: fmt.Sprint("half ", i), Write: inPieces(2, 1500*time.Millisecond)})
-				done <- struct{}{}
-			}()
-		}
+		b := newBench(t)
+		clients := b.dialMany()
+		written := b.askAll(clients, 2, 1500*time.Millisecond)
 		time.Sleep(time.Second)
-		b.pause(2600*time.Millisecond, func() {
-			for range connections {
-				<-done
-			}
-		})
+		b.pause(2600*time.Millisecond, written)
 		await(clients)
-		b.verdict()
+		b.allAnswered()
 	})
 	t.Run("client writes slowly", func(t *testing.T) {
 		t.Parallel()
-		b := newBench(t, nil)
-		var clients []*Client
-		done := make(chan struct{})
-		for i := range connections {
-			c := b.dial()
-			clients = append(clients, c)
-			go func() {
-				b.ask(c, Ask{Body: fmt.Sprint("slow ", i), Write: inPieces(24, 2400*time.Millisecond)})
-				done <- struct{}{}
-			}()
-		}
-		for range connections {
-			<-done
-		}
+		b := newBench(t)
+		clients := b.dialMany()
+		b.askAll(clients, 24, 2400*time.Millisecond)()
 		await(clients)
-		b.allAnswered(connections)
+		b.allAnswered()
 	})
 	t.Run("connections are scarce", func(t *testing.T) {
 		t.Parallel()
-		b := newBench(t, nil) // 256 descriptors
-		var clients []*Client
-		done := make(chan struct{})
-		for i := range connections {
-			c := b.dial()
-			clients = append(clients, c)
-			go func() {
-				b.ask(c, Ask{Body: fmt.Sprint("scarce ", i), Write: inPieces(6, time.Second)})
-				done <- struct{}{}
-			}()
-		}
+		b := newBench(t) // 256 descriptors
+		clients := b.dialMany()
+		written := b.askAll(clients, 6, time.Second)
 		for range 140 {
 			b.dial()
 			time.Sleep(2 * time.Millisecond)
 		}
-		for range connections {
-			<-done
-		}
+		written()
 		await(clients)
-		b.allAnswered(connections)
+		b.allAnswered()
 	})
 }
 
@@ -215,7 +199,7 @@
 func TestDrainCountsFromTheNotice(t *testing.T) {
 	t.Run("process stands still at the notice", func(t *testing.T) {
 		t.Parallel()
-		b := newBench(t, nil)
+		b := newBench(t)
 		c := b.dial()
 		b.ask(c, Ask{Body: "before"})
 		c.AwaitAnswers()
@@ -232,7 +216,7 @@
 	})
 	t.Run("door lies in the grace", func(t *testing.T) {
 		t.Parallel()
-		b := newBench(t, nil)
+		b := newBench(t)
 		c := b.dial()
 		b.ask(c, Ask{Body: "before"})
 		c.AwaitAnswers()
@@ -248,7 +232,7 @@
 	})
 	t.Run("connections wait in the queue as the grace ends", func(t *testing.T) {
 		t.Parallel()
-		b := newBench(t, nil)
+		b := newBench(t)
 		notice := b.signal(syscall.SIGTERM)
 		b.history.Add(Event{Node: b.node.Name, Kind: Terminated, At: notice})
 		time.Sleep(time.Until(notice.Add(drainGrace - 100*time.Millisecond)))
@@ -272,7 +256,7 @@
 	for _, paused := range []time.Duration{0, 600 * time.Millisecond} {
 		t.Run(fmt.Sprint("stands still for ", paused), func(t *testing.T) {
 			t.Parallel()
-			b := newBench(t, nil) // stop_ms is 6 s
+			b := newBench(t) // stop_ms is 6 s
 			resting, busy := b.dial(), b.dial()
 			b.ask(resting, Ask{Body: "rests"})
 			resting.AwaitAnswers()
