--- a/admission/server.go
+++ b/admission/server.go
@@ -87,7 +87,7 @@
 // the grace is turned away, and all is answered 250 ms before stopAt.
 func (s *Server) Drain(stopAt time.Time) {
 	s.draining.Store(true)
-	s.core.Drain(stopAt)
+	s.core.Drain(s.core.NoticeTime(), stopAt)
 }
 
 // Shutdown drains and then shuts hs down. For the grace the listeners stay
--- /dev/null
+++ b/clock/clock_test.go
@@ -0,0 +1,63 @@
+package clock
+
+import (
+	"testing"
+	"time"
+)
+
+// stepped gives a clock whose Unix time was stepped just now: the clock was made so
+// much earlier than it says.
+func stepped(by time.Duration) *Clock {
+	c := New()
+	c.unix -= by
+	return c
+}
+
+func near(a, b time.Duration) bool { return (a - b).Abs() < 10*time.Second/100 }
+
+func TestSteps(t *testing.T) {
+	for _, by := range []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour} {
+		c := stepped(by)
+		now := c.Now()
+		if step := c.Observe(); !near(step, by) {
+			t.Errorf("%v: noticed %v", by, step)
+		}
+		if step := c.Observe(); step != 0 {
+			t.Errorf("%v: noticed %v again", by, step)
+		}
+		if at := c.At(time.Now()); !near(at, now) {
+			t.Errorf("%v: a time of this process is off by %v", by, at-now)
+		}
+		if at := c.At(time.Now().Round(0)); !near(at, now) {
+			t.Errorf("%v: Unix time after the step is off by %v", by, at-now)
+		}
+		if unix := c.Unix(now); !near(time.Until(unix), 0) {
+			t.Errorf("%v: as Unix time it is off by %v", by, time.Until(unix))
+		}
+		if at := c.Received(time.Now().Round(0)); !near(at, now) {
+			t.Errorf("%v: a peer's time after the step is off by %v", by, at-now)
+		}
+		before := time.Now().Round(0).Add(-by) // written just before the step
+		if at := c.Received(before); by.Abs() > absurdAge && !near(at, now) {
+			t.Errorf("%v: a peer's time before the step is off by %v", by, at-now)
+		}
+	}
+}
+
+func TestTimeHasMonotonicReading(t *testing.T) {
+	c := stepped(time.Hour)
+	at := c.Now() + time.Second
+	if got := c.Time(at); !hasMonotonic(got) || !near(time.Until(got), time.Second) {
+		t.Errorf("%v, in %v", got, time.Until(got))
+	}
+}
+
+func TestReceived_LongAfterAStep(t *testing.T) {
+	c := stepped(time.Hour)
+	c.Observe()
+	c.steppedAt -= stepRemembered + time.Second
+	old := time.Now().Round(0).Add(-time.Hour)
+	if at := c.Received(old); !near(c.Now()-at, time.Hour) {
+		t.Errorf("a time of an hour ago is %v old", c.Now()-at)
+	}
+}
--- a/program/config.go
+++ b/program/config.go
@@ -46,6 +46,23 @@
 	text                        string
 }
 
+// The earliest that the process may be killed after the notice to leave, whatever the
+// configuration's stop_ms: the longest deadline, counted as earliestKillDeadline where it
+// is longer, and a margin.
+const (
+	earliestKillDeadline = 3 * time.Second
+	earliestKillMargin   = 700 * time.Millisecond
+)
+
+// stopAfter is how long after the notice to leave the process may be killed.
+func (c *Config) stopAfter() time.Duration {
+	var longest time.Duration
+	for _, class := range c.Settings.Classes {
+		longest = max(longest, class.Deadline)
+	}
+	return min(c.Stop, min(longest, earliestKillDeadline)+earliestKillMargin)
+}
+
 // lacks names the first key that another configuration has and this one lacks,
 // in a part that both have; "" if there is none.
 func (c *Config) lacks(other *Config) string {
--- a/program/fronts_test.go
+++ b/program/fronts_test.go
@@ -64,7 +64,7 @@
 	}
 	steps.Fuzz(f, func(t *testing.T, s *steps.Source) {
 		b := newInstant(t)
-		front := newThriftFront(b.core, &match.Rules{}, slog.Default(), nil)
+		front := newThriftFront(b.core, &match.Rules{}, slog.Default(), nil, nil)
 		far, ended := dial(front)
 		replies := make(map[int32]int)
 		read := make(chan struct{})
@@ -276,12 +276,12 @@
 }
 
 // TestThriftCrowded guards the table of connections against callers that ask
-// once and keep theirs, or say nothing: the silent end, the one that has idled
+// once and keep theirs, or say nothing: the silent are left and then ended, the one that has idled
 // longest is left and then ended, and one with an open call stays.
 func TestThriftCrowded(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newInstant(t)
-		front := newThriftFront(b.core, &match.Rules{}, slog.Default(), nil)
+		front := newThriftFront(b.core, &match.Rules{}, slog.Default(), nil, nil)
 		said := make(map[string]chan string) // what each connection hears, until it ends
 		open := func(name string, says []byte) {
 			far, _ := dial(front)
@@ -329,10 +329,14 @@
 		want("silent")
 		time.Sleep(silentAfter)
 		front.crowded()
-		want("silent", "ended")
+		want("silent", "leaving") // a request of its own may be on its way
 		want("idle")
+		time.Sleep(crowdedLeave - time.Millisecond)
+		front.crowded()
+		want("silent")
 		time.Sleep(crowdedAfter)
 		front.crowded()
+		want("silent", "ended")
 		want("idle", "leaving")
 		front.crowded() // at once: room was just made
 		time.Sleep(crowdedLeave + time.Millisecond)
@@ -353,7 +357,7 @@
 func TestThriftFaults(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		b := newInstant(t)
-		far, ended := dial(newThriftFront(b.core, &match.Rules{}, slog.Default(), nil))
+		far, ended := dial(newThriftFront(b.core, &match.Rules{}, slog.Default(), nil, nil))
 		r := bufio.NewReader(far)
 		good := map[string]string{"verb": "kampanjsida", "txn": "0000000000000001", "lb": "1", "ram": "1", "standing": "0"}
 		seq := int32(0)
--- a/program/handover.go
+++ b/program/handover.go
@@ -88,7 +88,7 @@
 				return p
 			case <-p.ended: // it hands over to another, or ends
 			case <-ctx.Done():
-				p.conn.Cut()
+				p.conn.Abort()
 				<-p.ended
 			}
 		} else if !tried {
@@ -133,7 +133,7 @@
 	}
 	h.mu.Unlock()
 	if taken { // it comes again when the one before it is alone
-		c.Cut()
+		c.Abort()
 		return
 	}
 	h.serve(p, false)
--- a/program/metrics.go
+++ b/program/metrics.go
@@ -10,6 +10,7 @@
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
 	"quincerail.example/quincerail/fleet"
+	"quincerail.example/quincerail/guard"
 	"quincerail.example/quincerail/routing"
 	"quincerail.example/quincerail/transport"
 )
@@ -26,6 +27,8 @@
 //	quincerail_repeats_total{class}         of those served, the ones with another try's result
 //	quincerail_answer_seconds{class,kind}   from a request's coming to its answer
 //	quincerail_connections_ended_total{reason}  of balancers, by why they ended
+//	quincerail_rule_violations_total{rule}  rules of the platform that were broken, as the program itself found
+//	quincerail_rule_denials_total{rule}     what was not done so that they were not
 //	quincerail_open_requests                handed in and not answered yet: held, waiting and running
 //	quincerail_fleet_alive                  members of the fleet that are thought to be alive
 //	quincerail_fleet_owner                  1 while this process owns the lease on the registry's judgement
@@ -151,6 +154,20 @@
 	}
 }
 
+// watchRules adds the counts of broken rules, and of what was denied to keep them.
+func (m *metrics) watchRules(monitor *guard.Monitor) {
+	for _, rule := range guard.Rules {
+		labels := prometheus.Labels{"rule": string(rule)}
+		m.registry.MustRegister(
+			prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "quincerail_rule_violations_total", ConstLabels: labels,
+				Help: "Rules of the platform that were broken, by rule."},
+				func() float64 { return float64(monitor.Violations(rule)) }),
+			prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "quincerail_rule_denials_total", ConstLabels: labels,
+				Help: "What was not done as it would have broken a rule, by rule."},
+				func() float64 { return float64(monitor.Denials(rule)) }))
+	}
+}
+
 // connectionEnded counts a connection's end; a nil receiver counts nothing.
 func (m *metrics) connectionEnded(reason transport.EndReason) {
 	if m != nil {
--- a/program/program.go
+++ b/program/program.go
@@ -16,6 +16,7 @@
 
 	"quincerail.example/quincerail/decision"
 	"quincerail.example/quincerail/fleet"
+	"quincerail.example/quincerail/guard"
 	"quincerail.example/quincerail/idempotency/journal"
 	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/program/backend"
@@ -31,6 +32,7 @@
 	leaveAgain       = 100 * time.Millisecond // between two looks whom to take leave of, when another takes over
 	leaveFleetWithin = time.Second            // for giving up what this process owns there
 	closeMargin      = 200 * time.Millisecond // before the kill, when all has been answered and connections end
+	lastMargin       = 140 * time.Millisecond // before the kill, when they end even in the middle of a message
 	exitMargin       = 80 * time.Millisecond  // before the kill, when the process ends
 	heapShare        = 0.75                   // of the memory is for the heap
 	keysShare        = 8                      // one part in so many of the memory is for kept results
@@ -48,10 +50,10 @@
 // front is what the drain needs of a front.
 type front interface {
 	serve(*transport.Conn)
-	crowded()    // connections are getting scarce
-	leave()      // the notice has come: callers are told
-	refuseLate() // the grace is over
-	finish()     // all is answered: connections end
+	crowded()            // connections are getting scarce
+	leave()              // the notice has come: callers are told
+	refuseLate()         // the grace is over
+	finish(by time.Time) // all is answered: connections end, at the latest at a time
 }
 
 // door is a front with its listener.
@@ -105,7 +107,8 @@
 	link, pool := backend.NewProcessor(c.Processor, c.Gauges, logger), downstream.NewPool(c.Ledger)
 	presence, idle := newAnnouncer(c.Name, logger), &idleLimit{}
 	idle.CloseIdle(c.Settings.MaxIdle)
-	opt := routing.Options{Settings: c.Settings, Classes: c.Classes, Tenants: c.Tenants, Seed: c.Seed, Logger: logger,
+	monitor := guard.NewMonitor(logger)
+	opt := routing.Options{Monitor: monitor, Settings: c.Settings, Classes: c.Classes, Tenants: c.Tenants, Seed: c.Seed, Logger: logger,
 		Backend: link, Machine: link, Dependency: pool, Presence: presence, Connections: idle,
 		KeyBytes: c.MemoryMB << 20 / keysShare}
 	var watch *metrics
@@ -114,6 +117,7 @@
 	if c.MetricsListen != "" {
 		watch = newMetrics()
 		watch.tune(c.Classes)
+		watch.watchRules(monitor)
 		watching = append(watching, watch)
 	}
 	if c.Fleet != nil && c.Fleet.Window > 0 {
@@ -179,7 +183,7 @@
 	if c.Rules != nil {
 		rules.Replace(c.Rules)
 	}
-	s = &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules, logger, watch), idle: idle,
+	s = &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules, logger, watch, monitor), idle: idle,
 		rules: rules, keys: keys, log: logger, fleet: member, tally: counted, watch: watch, file: c}
 	s.config.Store(c)
 	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
@@ -436,16 +440,18 @@
 		}
 	}
 	config := s.config.Load()
-	stopAt := time.Now().Add(config.Stop)
-	s.log.Info("drain", "stop_in", config.Stop.String())
-	s.core.Drain(stopAt)
+	notice := s.core.NoticeTime()
+	stopAt := notice.Add(config.stopAfter())
+	s.log.Info("drain", "stop_in", time.Until(stopAt).Round(time.Millisecond).String(),
+		"notice_ago", time.Since(notice).Round(time.Millisecond).String())
+	s.core.Drain(notice, stopAt)
 	s.phase("leaving")
 	for _, d := range s.doors {
 		d.front.leave()
 	}
 	answered := time.After(time.Until(stopAt.Add(-closeMargin)))
 	select {
-	case <-time.After(config.Settings.DrainGrace):
+	case <-time.After(time.Until(notice.Add(config.Settings.DrainGrace))):
 	case <-answered:
 		answered = time.After(0) // the next phase is over at once
 	}
@@ -463,7 +469,7 @@
 		s.phase("closing")
 		for _, d := range s.doors {
 			d.server.Close()
-			d.front.finish()
+			d.front.finish(stopAt.Add(-lastMargin))
 		}
 		select {
 		case <-empty:
@@ -529,7 +535,7 @@
 // leaving to the announce service: the other one's word holds.
 func (s *Server) handOver(p *peer) {
 	config := s.config.Load()
-	stopAt := time.Now().Add(config.Stop)
+	stopAt := s.core.NoticeTime().Add(config.stopAfter())
 	settled := s.core.HandOver(stopAt)
 	s.quiet()
 	for _, d := range s.doors {
@@ -552,7 +558,7 @@
 			continue
 		case <-answered:
 			for _, d := range s.doors {
-				d.front.finish()
+				d.front.finish(stopAt.Add(-lastMargin))
 			}
 			continue
 		case <-done:
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -13,6 +13,7 @@
 	"sync/atomic"
 	"time"
 
+	"quincerail.example/quincerail/guard"
 	"quincerail.example/quincerail/match"
 	"quincerail.example/quincerail/protocol/thrift"
 	"quincerail.example/quincerail/routing"
@@ -20,14 +21,14 @@
 )
 
 const (
-	maxOpen      = 32                     // requests on one connection
-	thriftWithin = 2 * time.Second        // for a message to come whole, and for the first to come at all
-	doorAhead    = 5 * time.Second        // that a caller's clock may be ahead of this one
-	longestLimit = 24 * 60 * 60 * 1000    // milliseconds that a caller may say it waits: any deadline is less
-	roomEvery    = 10 * time.Millisecond  // at most, room is made where connections are scarce; there,
-	silentAfter  = 50 * time.Millisecond  // a connection that has said nothing gives way after so long,
-	crowdedAfter = 250 * time.Millisecond // one that idles after so long,
-	crowdedLeave = 100 * time.Millisecond // and one that leave was taken of ends after so long
+	maxOpen      = 32                      // requests on one connection
+	thriftWithin = 1500 * time.Millisecond // that a message may stand still, and for the first to begin
+	doorAhead    = 5 * time.Second         // that a caller's clock may be ahead of this one
+	longestLimit = 24 * 60 * 60 * 1000     // milliseconds that a caller may say it waits: any deadline is less
+	roomEvery    = 10 * time.Millisecond   // at most, room is made where connections are scarce; there,
+	silentAfter  = 50 * time.Millisecond   // a connection that has said nothing is asked to end after so long,
+	crowdedAfter = 250 * time.Millisecond  // one that idles after so long,
+	crowdedLeave = 100 * time.Millisecond  // and one that was asked to is ended after so long
 )
 
 // thriftFront is the front for the balancers' protocol.
@@ -38,6 +39,7 @@
 	conns registry[*thriftConn]
 
 	observer *metrics // nil where there is no listener for them
+	monitor  *guard.Monitor
 
 	leaving   atomic.Bool // leave is taken of all, also of those that come now
 	newcomers int         // since room was made; both belong to the accepting goroutine
@@ -57,24 +59,26 @@
 	mu      sync.Mutex
 	open    map[string]int32 // sequence number by request id
 	ids     map[int32]string
-	checks  int       // health checks without an answer
-	leaving time.Time // when that was said; zero before
+	checks  int           // health checks without an answer
+	leaving time.Time     // when the peer was told that nothing new is wanted; zero before
+	notice  time.Duration // that it has from then on
 }
 
-func newThriftFront(core *routing.Core, rules *match.Rules, log *slog.Logger, observer *metrics) *thriftFront {
-	return &thriftFront{core: core, rules: rules, log: log, observer: observer, conns: newRegistry[*thriftConn]()}
+func newThriftFront(core *routing.Core, rules *match.Rules, log *slog.Logger, observer *metrics, monitor *guard.Monitor) *thriftFront {
+	return &thriftFront{core: core, rules: rules, log: log, observer: observer, monitor: monitor, conns: newRegistry[*thriftConn]()}
 }
 
 // serve works one connection. Requests still open when it ends have lost their
 // caller.
 func (f *thriftFront) serve(c *transport.Conn) {
-	t := &thriftConn{core: f.core, rules: f.rules, conn: c, open: make(map[string]int32), ids: make(map[int32]string)}
+	t := &thriftConn{core: f.core, rules: f.rules, conn: c, notice: leaveWithin, open: make(map[string]int32), ids: make(map[int32]string)}
 	f.conns.add(t)
 	defer f.conns.remove(t)
 	if f.leaving.Load() { // else leave, which comes after this look, finds it registered
 		t.leave(leaveWithin)
 	}
 	c.ExpectWithin(thriftWithin, t.owes)
+	c.NotifyBeforeEnd(t.notify)
 	c.OnEnd(func(error) { t.lose() })
 	c.Serve(func(r *bufio.Reader) error {
 		m, err := thrift.Read(r)
@@ -98,6 +102,9 @@
 	if ownDecision && (lost > 0 || end.Partial > 0 || end.Discarded > 0) {
 		level = slog.LevelWarn
 	}
+	if ownDecision && end.Owed {
+		f.monitor.Violated(guard.LostRequest, "peer", c.PeerAddr(), "reason", string(end.Reason))
+	}
 	f.log.Log(context.Background(), level, "connection_ended", "reason", string(end.Reason), "peer", c.PeerAddr(),
 		"open_for", c.Age().Round(time.Millisecond).String(), "unanswered", lost, "partial_bytes", end.Partial,
 		"discarded_bytes", end.Discarded)
@@ -166,9 +173,15 @@
 		return m.Err
 	}
 	door, err := strconv.ParseInt(m.Fields["door"], 10, 64)
-	if err != nil || door < 0 || time.Until(time.UnixMilli(door)) > doorAhead {
+	if err != nil || door < 0 {
+		return fmt.Errorf("door %q", m.Fields["door"])
+	}
+	timeline := t.core.Clock()
+	arrived := timeline.Received(time.UnixMilli(door))
+	if arrived-timeline.Now() > doorAhead {
 		return fmt.Errorf("door %q", m.Fields["door"])
 	}
+	arrivedAt := timeline.Time(arrived)
 	ram, err := strconv.ParseFloat(m.Fields["ram"], 64)
 	if err != nil || !(ram > 0 && ram < 2000) {
 		return fmt.Errorf("ram %q", m.Fields["ram"])
@@ -181,7 +194,7 @@
 	if err != nil {
 		return fmt.Errorf("lb %q", m.Fields["lb"])
 	}
-	due, err := callerDue(time.UnixMilli(door), m.Fields["limit"])
+	due, err := callerDue(arrivedAt, m.Fields["limit"])
 	if err != nil {
 		return err
 	}
@@ -207,7 +220,8 @@
 		}
 	}
 	err = t.core.Submit(routing.Request{ID: id, Class: class, Key: key, Item: m.Fields["item"], Tenant: m.Fields["team"],
-		Due: due, Door: time.UnixMilli(door), After: t.conn.CameAfter(), Caller: caller, HeldKB: ram, Rank: rank,
+		Due: due, Door: arrivedAt, After: t.conn.CameAfter(),
+		ReadBy: t.conn.ReadAt(), Caller: caller, HeldKB: ram, Rank: rank,
 		Payload: routing.Payload{Body: m.Body}, Sink: t})
 	if err != nil {
 		t.mu.Lock()
@@ -278,19 +292,36 @@
 	delete(t.ids, seq)
 }
 
-// leave asks that no new request comes on the connection; the balancer closes
-// it once all on it is answered. One that does not is closed when idle.
-func (t *thriftConn) leave(within time.Duration) {
+// notify tells the peer, once, that no new request is wanted on the connection, and
+// returns for how long it is still to be waited for.
+func (t *thriftConn) notify() time.Duration {
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.notifyLocked()
+	return t.notice - time.Since(t.leaving)
+}
+
+// notifyLocked sends leaving, once. The lock is held.
+func (t *thriftConn) notifyLocked() {
 	if t.leaving.IsZero() {
 		t.leaving = time.Now()
 		t.conn.Send(thrift.AppendLeaving(nil))
-	} else if !t.owesLocked() && time.Since(t.leaving) > within {
-		t.conn.Retire()
 	}
 }
 
+// leave asks that no new request comes on the connection; the balancer closes
+// it once all on it is answered. One that does not is closed when idle, after it has
+// been told for a time.
+func (t *thriftConn) leave(within time.Duration) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.leaving.IsZero() && !t.owesLocked() && time.Since(t.leaving) > within {
+		t.notice = min(t.notice, within)
+		t.conn.CloseIfIdle()
+	}
+	t.notifyLocked()
+}
+
 // owes tells whether a request or a health check is open.
 func (t *thriftConn) owes() bool {
 	t.mu.Lock()
@@ -320,12 +351,12 @@
 	f.conns.each(func(t *thriftConn) { t.leave(leaveWithin) })
 }
 
-// finish ends all connections, each once nothing is owed on it.
-func (f *thriftFront) finish() { f.conns.each(func(t *thriftConn) { t.conn.Finish() }) }
+// finish ends all connections, each once nothing is owed on it, at the latest at a time.
+func (f *thriftFront) finish(by time.Time) { f.conns.each(func(t *thriftConn) { t.conn.Drain(by) }) }
 
 // refuseLate notes what has come of messages that are half read when the grace is
 // over; the module turns away what comes over open connections from here on.
-func (f *thriftFront) refuseLate() { f.conns.each(func(t *thriftConn) { t.conn.Note() }) }
+func (f *thriftFront) refuseLate() { f.conns.each(func(t *thriftConn) { t.conn.Mark() }) }
 
 // leaveIdle takes leave of connections that have idled for a time, and goes on
 // with the leave that was taken before.
@@ -337,9 +368,9 @@
 	})
 }
 
-// crowded makes room for the newcomers: those that have said nothing end, and
-// leave is taken of as many as came, of those that have idled longest. There are
-// callers that ask once and keep their connection for good.
+// crowded makes room for the newcomers: those that have said nothing are asked to end,
+// and as many as came of those that have idled longest. There are callers that ask once
+// and keep their connection for good.
 func (f *thriftFront) crowded() {
 	f.newcomers++
 	if time.Since(f.roomMade) < roomEvery {
@@ -351,8 +382,8 @@
 		case t.left():
 			t.leave(crowdedLeave)
 		case !t.conn.Spoken():
-			if t.idle(silentAfter) { // but for a request that has come and was not read yet
-				t.conn.Finish()
+			if t.idle(silentAfter) {
+				t.leave(crowdedLeave)
 			}
 		case t.idle(crowdedAfter):
 			idle = append(idle, t)
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -149,7 +149,7 @@
 		size += len(v.Name) + len(v.Value)
 	}
 	err := f.core.Submit(routing.Request{ID: id, Class: class, Key: key,
-		Door: time.Now(), Caller: -1, HeldKB: uwsgiBaseKB + float64(size)/1024, Payload: payload,
+		Door: time.Now(), ReadBy: u.conn.ReadAt(), Caller: -1, HeldKB: uwsgiBaseKB + float64(size)/1024, Payload: payload,
 		Backend: f.backend, Sink: u})
 	if err != nil { // a keyed class without its key
 		u.respond(http.StatusBadRequest)
@@ -223,7 +223,7 @@
 func (f *uwsgiFront) leave() {}
 
 // finish has nothing to do: a connection ends with its answer, and all have one.
-func (f *uwsgiFront) finish() {}
+func (f *uwsgiFront) finish(time.Time) {}
 
 // refuseLate has what is still unread when the grace of a drain is over turned
 // away: at once by the module, if all of it is on its way, else here.
--- a/routing/admit.go
+++ b/routing/admit.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/guard"
 )
 
 // Admit: the module hears of a request, and says if it is turned away.
@@ -81,7 +82,8 @@
 // Refuse turns a request away, at once.
 func (h host) Refuse(id string, stayAway time.Duration, last bool) {
 	if a := h.attempts[id]; a != nil {
-		if a.entry != nil && a.entry.ranFor(a.door) { // an effect that may have been had is never denied
+		if err := guard.MayShed(a.shedFacts()); err != nil { // an effect that may have been had is never denied
+			h.opt.Monitor.Denied(guard.FalsePromise, err, id)
 			h.answer(a, h.failure(a))
 			return
 		}
--- a/routing/answer.go
+++ b/routing/answer.go
@@ -1,16 +1,21 @@
 package routing
 
-import "time"
+import (
+	"time"
+
+	"quincerail.example/quincerail/guard"
+)
 
 // Answer: the final answer is given and remembered.
 
 // answer gives a request its final answer. All answers go through here, which is
 // what guards that there is one and no more.
 func (c *Core) answer(a *attempt, o Outcome) {
-	if a.answered {
+	if guard.MayAnswer(a.answered) != nil {
 		return
 	}
 	a.answered = true
+	c.checkAnswer(a, o)
 	a.Sink.Answer(a.ID, o)
 	c.open.Add(-1)
 	if c.opt.Observer != nil {
@@ -77,7 +82,7 @@
 // repeats fail, and it never runs again within its window.
 func (c *Core) journal(e *entry, over bool) {
 	if c.opt.Journal != nil {
-		k := e.state()
+		k := c.state(e)
 		k.Over = over
 		c.opt.Journal.Record(k, func(err error) {
 			if err != nil {
--- a/routing/core.go
+++ b/routing/core.go
@@ -7,7 +7,9 @@
 	"sync/atomic"
 	"time"
 
+	"quincerail.example/quincerail/clock"
 	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/guard"
 	"quincerail.example/quincerail/limits"
 	"quincerail.example/quincerail/policy"
 )
@@ -18,6 +20,7 @@
 	trialWithin  = time.Second           // nor a deep health check for its work
 	noticeLate   = 30 * time.Millisecond // a crowded core may see the notice to leave so much later
 	stopMargin   = 250 * time.Millisecond
+	stallLogged  = 250 * time.Millisecond // a stall from which on it is logged
 )
 
 // ErrStopped is given to what comes after the core has ended.
@@ -55,6 +58,8 @@
 	Logger *slog.Logger
 	// Observer, where not nil, is told of each final answer, for metrics.
 	Observer Observer
+	// Monitor counts broken rules, and what was denied to keep them; may be nil.
+	Monitor *guard.Monitor
 }
 
 // DroppedClass stands for the class of a request that came under a class which new
@@ -90,11 +95,15 @@
 	tuned  atomic.Pointer[tuning] // for those that hand in; Run's goroutine replaces it
 	events chan func()
 	done   chan struct{}
+	clock  *clock.Clock
+	stalls stallWatch
+
+	inDoubtUntil time.Duration // Options.InDoubtUntil
 
 	// All below belongs to Run's goroutine.
 	set       decision.Settings // in force
 	module    *policy.Instance
-	now       time.Duration // Unix time of the batch
+	now       time.Duration // of the batch, on the clock's timeline
 	attempts  map[string]*attempt
 	keys      *keyTable
 	followUps []func() // events that the module's own actions bring
@@ -109,6 +118,7 @@
 	untold    []*entry                // keys that a peer which has just come has not been told of
 	settled   chan struct{}           // closed once nothing is open; nil where nobody waits for that
 	draining  bool
+	noticeAt  time.Duration // when the notice to leave came at the earliest
 	stopAt    time.Duration
 	pools     *limits.Pools // nil where runs are bound by the module alone
 	log       *slog.Logger
@@ -123,7 +133,7 @@
 func New(opt Options) (*Core, error) {
 	c := &Core{
 		opt: opt, first: make(map[string]bool), events: make(chan func(), mailbox),
-		done: make(chan struct{}), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true,
+		done: make(chan struct{}), clock: clock.New(), attempts: make(map[string]*attempt), keys: newKeyTable(opt.KeyBytes), fit: true,
 		gauges: decision.Gauges{CoreUse: -1, OnCores: -1, Memory: -1, Conns: -1}, log: opt.Logger,
 	}
 	if c.log == nil {
@@ -145,11 +155,14 @@
 			return nil, err
 		}
 	}
-	now := time.Now()
+	if !opt.InDoubtUntil.IsZero() {
+		c.inDoubtUntil = c.clock.At(opt.InDoubtUntil)
+	}
+	now := c.clock.Now()
 	for _, k := range opt.Recovered {
-		if k.Till.After(now) {
+		if till := c.clock.At(k.Till); till > now {
 			k.Over = true // what ran and was not told to end ended unheard of
-			c.keys.learn(k)
+			c.keys.learn(k, till)
 		}
 	}
 	return c, nil
@@ -182,8 +195,23 @@
 // Done is closed when Run has ended.
 func (c *Core) Done() <-chan struct{} { return c.done }
 
-// tick reads the clock. It never goes back, even if the machine's does.
-func (c *Core) tick() { c.now = max(c.now, time.Duration(time.Now().UnixNano())) }
+// tick reads the clock, and logs what happened to it and to the process meanwhile.
+func (c *Core) tick() {
+	c.now = c.clock.Now()
+	if stalled := c.stalls.batch(c.now); stalled >= stallLogged {
+		c.log.Info("stalled", "for", stalled.Round(time.Millisecond).String())
+	}
+	if step := c.clock.Observe(); step != 0 {
+		c.log.Warn("clock_stepped", "by", step.Round(time.Millisecond).String())
+	}
+}
+
+// Clock is the clock that the core goes by.
+func (c *Core) Clock() *clock.Clock { return c.clock }
+
+// NoticeTime gives the earliest moment at which a signal that is seen now may have been
+// sent: the process may have stood still when it came.
+func (c *Core) NoticeTime() time.Time { return c.clock.Time(c.stalls.notBefore(c.clock.Now())) }
 
 // decide lets the module settle the batch, and again what that itself brought.
 func (c *Core) decide() {
@@ -235,12 +263,13 @@
 			return
 		}
 		c.module = module
+		c.stalls.start()
 		if c.bounds != nil {
 			c.module.Bound(*c.bounds)
 		}
 		c.module.Decide(c.now - ago)
 		if c.draining {
-			c.module.Drain(c.now, c.stopAt)
+			c.module.Drain(c.noticeAt, c.stopAt)
 		}
 	})
 }
@@ -305,19 +334,20 @@
 	})
 }
 
-// Drain takes in the notice to leave: the process is stopped at a time, and
-// all is answered a margin before it.
-func (c *Core) Drain(stopAt time.Time) {
+// Drain takes in the notice to leave, which came at a time at the earliest
+// (NoticeTime): the process is stopped at another, and all is answered a margin before
+// that. From the grace after the notice on, nothing that is read is begun.
+func (c *Core) Drain(notice, stopAt time.Time) {
 	c.post(func() {
 		if c.draining {
 			return
 		}
-		c.draining, c.stopAt = true, time.Duration(stopAt.Add(-stopMargin).UnixNano())
+		c.draining, c.noticeAt, c.stopAt = true, c.clock.At(notice), c.clock.At(stopAt.Add(-stopMargin))
 		if c.module == nil {
 			c.setHealth(false, true)
 			return
 		}
-		c.module.Drain(c.now, c.stopAt)
+		c.module.Drain(c.noticeAt, c.stopAt)
 	})
 }
 
--- a/routing/core_test.go
+++ b/routing/core_test.go
@@ -280,7 +280,7 @@
 // that the grace seems to last longer than it does.
 func TestNoticeSeenLate(t *testing.T) {
 	bubble(t, func(t *testing.T, p *party) {
-		p.Drain(time.Now().Add(10 * time.Second))
+		p.Drain(time.Now(), time.Now().Add(10*time.Second))
 		p.sleep(testGrace - 100*time.Millisecond)
 		p.submit(t, "a", "read", "")
 		p.sleep(90 * time.Millisecond)
@@ -539,7 +539,7 @@
 				p.sleep(time.Duration(1+s.Pick(200)) * 10 * time.Millisecond)
 				if s.Pick(40) == 0 && drainedAt.IsZero() {
 					drainedAt = time.Now()
-					p.each(func(c *Core) { c.Drain(drainedAt.Add(30 * time.Second)) })
+					p.each(func(c *Core) { c.Drain(drainedAt, drainedAt.Add(30*time.Second)) })
 				}
 			}
 			p.wait()
--- a/routing/crossing_test.go
+++ b/routing/crossing_test.go
@@ -169,7 +169,7 @@
 				t.Errorf("before it can serve: good, or reported as %v", p.present)
 			}
 			if leaving {
-				core.Drain(time.Now().Add(10 * time.Second))
+				core.Drain(time.Now(), time.Now().Add(10*time.Second))
 			}
 			core.Started(true, 0)
 			p.wait()
--- a/routing/keys.go
+++ b/routing/keys.go
@@ -89,16 +89,16 @@
 }
 
 // state is what a peer is told of an entry.
-func (e *entry) state() KeyState {
-	return KeyState{Key: e.key, Class: e.class, Body: e.body, Ran: e.ran, Till: time.Unix(0, int64(e.till)), Over: e.over, Result: e.result}
+func (c *Core) state(e *entry) KeyState {
+	return KeyState{Key: e.key, Class: e.class, Body: e.body, Ran: e.ran, Till: c.clock.Unix(e.till), Over: e.over, Result: e.result}
 }
 
-// learn takes over what a peer tells of a key. It gives the repeats that waited
-// for a run which has ended.
-func (t *keyTable) learn(k KeyState) (e *entry, joined []*attempt) {
+// learn takes over what a peer tells of a key, whose window ends at a time. It gives
+// the repeats that waited for a run which has ended.
+func (t *keyTable) learn(k KeyState, till time.Duration) (e *entry, joined []*attempt) {
 	e = t.entry(k.Key)
 	t.drop(e)
-	e.class, e.body, e.holder, e.ran, e.till = k.Class, k.Body, k.Ran, k.Ran, time.Duration(k.Till.UnixNano())
+	e.class, e.body, e.holder, e.ran, e.till = k.Class, k.Body, k.Ran, k.Ran, till
 	e.over = k.Over || k.Ran == ""
 	e.remote = !e.over
 	if k.Result != nil {
@@ -120,16 +120,13 @@
 	}
 }
 
-// claim lets a try run, unless another has run in whose window it came.
-func (t *keyTable) claim(a *attempt, window time.Duration) bool {
+// claim makes a try the one that runs. Package guard has allowed it: no other has run
+// in whose window it came.
+func (t *keyTable) claim(a *attempt, window time.Duration) {
 	e := a.entry
-	if e.ranFor(a.door) {
-		return false
-	}
 	t.drop(e)
 	e.holder, e.ran, e.over, e.remote = a.ID, a.ID, false, false
 	e.till = a.door + window + windowSlack
-	return true
 }
 
 // unclaim takes back the claim of a try that is proven never to have run.
--- a/routing/peer.go
+++ b/routing/peer.go
@@ -56,7 +56,7 @@
 		n := min(snapshotPart, len(c.untold))
 		for _, e := range c.untold[:n] {
 			if e.ran != "" && c.keys.entries[e.key] == e {
-				p.Tell(e.state())
+				p.Tell(c.state(e))
 			}
 		}
 		c.untold = c.untold[n:]
@@ -77,7 +77,7 @@
 }
 
 func (c *Core) learn(k KeyState) {
-	e, joined := c.keys.learn(k)
+	e, joined := c.keys.learn(k, c.clock.At(k.Till))
 	if e.ran != "" {
 		c.journal(e, e.over)
 	}
@@ -93,11 +93,11 @@
 			return
 		}
 		e := c.keys.entries[k.Key]
-		granted := e == nil || !e.ranFor(time.Duration(k.Door.UnixNano()))
+		granted := e == nil || !e.ranFor(c.clock.At(k.Door))
 		if granted {
 			c.learn(k)
 		} else {
-			p.Tell(e.state())
+			p.Tell(c.state(e))
 		}
 		p.Settle(k.Ran, granted)
 	})
@@ -137,7 +137,7 @@
 		c.peer, c.untold = nil, nil
 		for _, e := range c.keys.entries {
 			if e.remote {
-				k := e.state()
+				k := c.state(e)
 				k.Over = true
 				c.learn(k)
 			}
@@ -166,7 +166,7 @@
 	settled := make(chan struct{})
 	c.post(func() {
 		c.log.Info("handover", "open", len(c.attempts))
-		c.stopAt, c.settled = time.Duration(stopAt.Add(-stopMargin).UnixNano()), settled
+		c.stopAt, c.settled = c.clock.At(stopAt.Add(-stopMargin)), settled
 	})
 	return settled
 }
@@ -174,7 +174,7 @@
 // tellPeer tells the peer, if there is one, of a key that runs here or has run.
 func (c *Core) tellPeer(e *entry, over bool) {
 	if c.peer != nil {
-		k := e.state()
+		k := c.state(e)
 		k.Over = over
 		c.peer.Tell(k)
 	}
--- a/routing/relay.go
+++ b/routing/relay.go
@@ -26,6 +26,9 @@
 		c.module.Done(c.now, id, decision.Cancelled, took)
 		return
 	}
+	if end == Unborn {
+		a.ran = false
+	}
 	outcome := [...]decision.Outcome{Good: decision.OK, Bad: decision.Errored, Cut: decision.Cancelled, Unborn: decision.Moot}[end]
 	c.recordRun(a, end, result)
 	switch end {
@@ -68,7 +71,7 @@
 	if k == nil || !k.out || a.calls != number { // late: it was given up, and another may be out
 		return
 	}
-	k.out = false
+	k.out, k.unseen = false, end == decision.Full || end == decision.ConnectFailed
 	if k.timer != nil {
 		k.timer.Stop()
 	}
--- a/routing/route.go
+++ b/routing/route.go
@@ -1,7 +1,10 @@
 package routing
 
 import (
+	"errors"
 	"time"
+
+	"quincerail.example/quincerail/guard"
 )
 
 // Route: where the work of a request is to be done, if it is to be done at all.
@@ -9,23 +12,33 @@
 // Run has a request run, unless its key has run here: then it gets that result.
 func (h host) Run(id string) {
 	a := h.attempts[id]
-	if a == nil || a.answered || a.begun {
+	if a == nil {
+		return
+	}
+	switch err := guard.MayStart(h.startFacts(a)); {
+	case errors.Is(err, guard.ErrAfterGrace):
+		h.opt.Monitor.Denied(guard.DrainStart, err, id)
+		a.begun = true // so that the module hears that it never began
+		h.followUps = append(h.followUps, func() { h.turnAway(a) })
+		return
+	case errors.Is(err, guard.ErrKeyRan):
+		h.opt.Monitor.Denied(guard.DuplicateRun, err, id)
+		h.Reuse(id)
+		return
+	case err != nil:
 		return
 	}
 	if a.paused { // its key is claimed, by itself
-		a.paused, a.halting = false, false
+		a.paused, a.halting, a.resuming = false, false, true
 		h.send(a)
 		return
 	}
-	// Guards rule 2 whatever the module says: within the window of a try that
-	// ran, no other try of the key is begun.
-	if a.entry != nil && !h.keys.claim(a, a.kind.Window) {
-		h.Reuse(id)
-		return
+	if a.entry != nil {
+		h.keys.claim(a, a.kind.Window)
 	}
 	if a.entry != nil && h.opt.Journal != nil { // it begins once its claim is durable
 		a.begun, a.claiming = true, true
-		k := a.entry.state()
+		k := h.state(a.entry)
 		h.opt.Journal.Record(k, func(err error) { h.post(func() { h.journaled(a, err) }) })
 		return
 	}
@@ -57,8 +70,8 @@
 func (h host) proceed(a *attempt) {
 	if a.entry != nil && h.peer != nil && h.elder {
 		a.begun, a.claiming = true, true
-		k := a.entry.state()
-		k.Door = time.Unix(0, int64(a.door))
+		k := h.state(a.entry)
+		k.Door = h.clock.Unix(a.door)
 		h.peer.Claim(k)
 		return
 	}
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -42,6 +42,7 @@
 	Tenant  string    // by its name in the settings; of no meaning where these have none
 	Door    time.Time // when it came to the machine; what is past its time then is only answered
 	After   time.Time // its last byte came after this, where it came in pieces; zero else
+	ReadBy  time.Time // its last byte came before this; zero for now
 	Due     time.Time // when its caller gives up, where that is sooner than its class's deadline; zero else
 	Caller  int
 	HeldKB  float64 // memory that it takes while held
--- /dev/null
+++ b/routing/rules.go
@@ -0,0 +1,60 @@
+package routing
+
+import (
+	"time"
+
+	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/guard"
+)
+
+// What package guard is asked about an attempt, and the checks after the fact: what was
+// done in spite of all is counted as a violation of the rule.
+
+// startFacts is what counts for beginning a run.
+func (c *Core) startFacts(a *attempt) guard.Start {
+	return guard.Start{
+		Answered: a.answered, Running: a.begun, Resumed: a.paused,
+		KeyRan: a.entry != nil && a.entry.ranFor(a.door),
+		ReadBy: a.readBy, Draining: c.draining, GraceEnd: c.graceEnd(),
+	}
+}
+
+// graceEnd is when the grace of the drain ends.
+func (c *Core) graceEnd() time.Duration { return c.noticeAt + c.set.DrainGrace }
+
+// checkStart counts a run that begins against the rules.
+func (c *Core) checkStart(a *attempt) {
+	switch {
+	case a.resuming:
+	case a.entry != nil && a.entry.ran != a.ID, a.ran && a.kind.Effect != decision.Safe:
+		c.opt.Monitor.Violated(guard.DuplicateRun, "request", a.ID, "key", a.Key)
+	case c.draining && a.readBy > c.graceEnd():
+		c.opt.Monitor.Violated(guard.DrainStart, "request", a.ID, "read_after_grace", (a.readBy - c.graceEnd()).String())
+	}
+	a.resuming, a.ran = false, true
+}
+
+// callFacts is what counts for making the call that a run stands at.
+func (a *attempt) callFacts() guard.Call {
+	k := a.call
+	if k == nil {
+		return guard.Call{}
+	}
+	return guard.Call{Waiting: true, Out: k.out, Made: k.made, Unseen: k.unseen, Repeatable: a.kind.Effect == decision.Safe}
+}
+
+// shedFacts is what counts for turning a request away.
+func (a *attempt) shedFacts() guard.Shed {
+	keyRan := a.entry != nil && a.entry.ranFor(a.door)
+	return guard.Shed{Repeatable: a.kind.Effect == decision.Safe, Ran: keyRan || a.ran}
+}
+
+// checkAnswer counts an answer against the rules.
+func (c *Core) checkAnswer(a *attempt, o Outcome) {
+	if late := c.now - max(a.due, a.readBy) - c.set.AnswerSlack; late > 0 {
+		c.opt.Monitor.Violated(guard.LateAnswer, "request", a.ID, "late_by", late.Round(time.Millisecond).String())
+	}
+	if err := guard.MayShed(a.shedFacts()); o.Kind == Refused && err != nil {
+		c.opt.Monitor.Violated(guard.FalsePromise, "request", a.ID, "reason", err.Error())
+	}
+}
--- a/routing/send.go
+++ b/routing/send.go
@@ -1,9 +1,11 @@
 package routing
 
 import (
+	"errors"
 	"time"
 
 	"quincerail.example/quincerail/decision"
+	"quincerail.example/quincerail/guard"
 )
 
 // call is the call that a run stands at.
@@ -12,6 +14,8 @@
 	body    []byte
 	out     bool
 	givenUp bool // while it is out: a reply is too late
+	made    bool // once at least
+	unseen  bool // the last time it was made it had no effect for certain
 	since   time.Duration
 	timer   *time.Timer
 }
@@ -40,7 +44,8 @@
 }
 
 func (c *Core) begin(a *attempt) {
-	a.backend.Begin(Run{ID: a.ID, Class: a.Class, Due: time.Unix(0, int64(a.due)), Payload: a.Payload})
+	c.checkStart(a)
+	a.backend.Begin(Run{ID: a.ID, Class: a.Class, Due: c.clock.Time(a.due), Payload: a.Payload})
 	if c.set.Stop != decision.StopPause { // else it is begun again with the same, once it was paused
 		a.Payload = Payload{} // the backend has it; a kept key need not
 	}
@@ -78,11 +83,18 @@
 // limit, so it is given up here.
 func (h host) Call(id string, timeout time.Duration) {
 	a := h.attempts[id]
-	if a == nil || a.call == nil || a.call.out {
+	if a == nil {
+		return
+	}
+	if err := guard.MayCall(a.callFacts()); err != nil {
+		if errors.Is(err, guard.ErrMayHaveRun) {
+			h.opt.Monitor.Denied(guard.RepeatedCall, err, id)
+			h.followUps = append(h.followUps, func() { h.module.CallDone(h.now, id, decision.Errored, 0) })
+		}
 		return
 	}
 	k := a.call
-	k.out, k.givenUp, k.since = true, false, h.now
+	k.out, k.givenUp, k.since, k.made = true, false, h.now, true
 	a.calls++
 	number := a.calls
 	if h.opt.Dependency == nil {
--- /dev/null
+++ b/routing/stall.go
@@ -0,0 +1,59 @@
+package routing
+
+import (
+	"sync"
+	"time"
+)
+
+// A process is taken to have stood still where the core, which is woken every few
+// milliseconds, had no batch for stallFrom. A signal that is seen within stallRecent
+// after that may have been sent at any time of it.
+const (
+	stallFrom   = 50 * time.Millisecond
+	stallRecent = 250 * time.Millisecond
+)
+
+// stallWatch knows the spans in which the process stood still. The core's goroutine
+// notes its batches, others ask.
+type stallWatch struct {
+	mu       sync.Mutex
+	watching bool // batches come regularly
+	last     time.Duration
+	from     time.Duration // of the last stall
+	till     time.Duration
+}
+
+// batch notes that the core works at a time. It returns how long it had stood still, 0
+// if it had not.
+func (w *stallWatch) batch(now time.Duration) (stalled time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if gap := now - w.last; w.watching && gap > stallFrom {
+		w.from, w.till, stalled = w.last, now, gap
+	}
+	w.last = now
+	return stalled
+}
+
+// start has gaps between batches count as stalls from now on.
+func (w *stallWatch) start() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.watching = true
+}
+
+// notBefore gives the last moment before which a signal that is seen now can't have been
+// sent: the process ran then and did not see it.
+func (w *stallWatch) notBefore(now time.Duration) time.Duration {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	switch {
+	case !w.watching:
+		return now
+	case now-w.last > stallFrom:
+		return w.last
+	case w.till > 0 && now-w.till < stallRecent:
+		return w.from
+	}
+	return now
+}
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -21,6 +21,7 @@
 	kind     decision.Class // as it was when the request came
 	door     time.Duration
 	came     time.Duration // its last byte, as far as is known; the door at the earliest
+	readBy   time.Duration // its last byte, at the latest
 	due      time.Duration
 	backend  Backend
 	answered bool   // it has its one answer, or none is owed
@@ -31,6 +32,8 @@
 	body     uint64 // keyed: hash of what it brings
 	call     *call
 	calls    int    // made for it so far
+	resuming bool   // its run was paused, and goes on with the next begin
+	ran      bool   // its run was begun, and was not proven to have had no effect
 	entry    *entry // of a keyed request
 	pooled   bool   // begun by the module, it waits in its pool's line
 	slotted  bool   // it holds a slot of a pool, told by its ticket
@@ -85,15 +88,21 @@
 		r.Sink.Answer(r.ID, Outcome{Kind: Rejected})
 		return
 	}
-	a := &attempt{Request: r, class: class, tenant: tenant, kind: kind, door: time.Duration(r.Door.UnixNano()), backend: r.Backend}
+	a := &attempt{
+		Request: r, class: class, tenant: tenant, kind: kind, door: c.clock.Received(r.Door), readBy: c.now,
+		backend: r.Backend,
+	}
 	// A caller's clock ahead of ours can't have made it come after now.
 	a.door = min(a.door, c.now)
 	if a.came = a.door; !r.After.IsZero() { // by its parts it may have come after the grace of a drain
-		a.came = min(max(a.door, time.Duration(r.After.UnixNano())), c.now)
+		a.came = min(max(a.door, c.clock.At(r.After)), c.now)
+	}
+	if !r.ReadBy.IsZero() {
+		a.readBy = min(c.clock.At(r.ReadBy), c.now)
 	}
 	a.due = a.door + a.kind.Deadline
-	if told := time.Duration(r.Due.UnixNano()); !r.Due.IsZero() && told < a.due {
-		a.due = told
+	if !r.Due.IsZero() {
+		a.due = min(a.due, a.door+r.Due.Sub(r.Door))
 	}
 	if a.backend == nil {
 		a.backend = c.opt.Backend
@@ -116,7 +125,7 @@
 		c.answer(a, Outcome{Kind: Refused, Later: c.set.MaxAdvice})
 		return
 	}
-	if a.Key != "" && e == nil && c.now < time.Duration(c.opt.InDoubtUntil.UnixNano()) {
+	if a.Key != "" && e == nil && c.now < c.inDoubtUntil {
 		c.answer(a, c.failure(a)) // a lost record may have told of its run
 		return
 	}
--- a/routing/tuning_test.go
+++ b/routing/tuning_test.go
@@ -214,7 +214,7 @@
 			if last() != follows {
 				t.Errorf("follows %t no more: the list says %t", follows, last())
 			}
-			p.Drain(time.Now().Add(time.Minute))
+			p.Drain(time.Now(), time.Now().Add(time.Minute))
 			p.wait()
 			if last() {
 				t.Error("the list is not told of a drain")
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -4,34 +4,29 @@
 
 import (
 	"bufio"
-	"cmp"
 	"errors"
-	"fmt"
-	"io"
 	"net"
-	"os"
 	"sync"
-	"syscall"
 	"time"
 )
 
 // The limits of one connection.
 const (
-	readBuffer   = 16 << 10               // a peeked message must fit
-	queueLimit   = 512 << 10              // bytes a peer may leave unread before it is cut off
-	drainFor     = 200 * time.Millisecond // for the peer to take in the end, after the half-close
-	owedEvery    = 250 * time.Millisecond // between two looks whether answers are still owed
-	writeTimeout = 5 * time.Second        // for one flush; a pause of the machine is shorter
+	readBuffer  = 16 << 10               // a peeked message must fit
+	queueLimit  = 512 << 10              // bytes a peer may leave unread before it is cut off
+	drainPeriod = 200 * time.Millisecond // for the peer to take in the end, after the half-close
+	owedEvery   = 250 * time.Millisecond // between two looks whether answers are still owed
 )
 
 // ErrCutOff is why a connection ended whose peer stopped reading.
 var ErrCutOff = errors.New("peer stopped reading")
 
 // state is where a connection is on its way. Only the goroutine of Serve moves
-// it on; what others want of it are requests (want), which that goroutine reads.
+// it on; what others want of it are requests, which that goroutine reads. Whether
+// it may move on to closing is for package guard to decide.
 //
 //	open        messages are taken, what is queued is written
-//	deaf        no more messages are taken: it ends once nothing is owed
+//	discarding  what comes makes no sense and is dropped: it ends once nothing is owed
 //	closing     it ends once what is queued is written
 //	halfClosed  its writing end is shut; what still comes is read and dropped
 //	closed
@@ -39,120 +34,58 @@
 
 const (
 	open state = iota
-	deaf
+	discarding
 	closing
 	halfClosed
 	closed
 )
 
-// want is what was asked of a connection. The greater goes before the less.
-type want int
+// request is what was asked of a connection. The greater goes before the less.
+type request int
 
 const (
-	goOn   want = iota
-	note        // note what has come by now
-	retire      // end, unless a part of a message has come
-	finish      // take what has come whole by now and nothing more; end once nothing is owed
-	end         // end once what is queued is written
+	noRequest   request = iota
+	mark                // note what has come by now
+	closeIfIdle         // end, unless a part of a message has come or an answer is owed
+	drain               // end as soon as that is allowed, at the latest at a time
+	closeNow            // end once what is queued is written
 )
 
 // Conn is a connection served by one goroutine, which reads and also writes
 // what others queue: a queued write interrupts the read by its deadline.
 type Conn struct {
-	nc  net.Conn
-	src *source
-	r   *bufio.Reader
-
-	mu       sync.Mutex
-	state    state
-	want     want
-	queue    []byte
-	cut      bool      // ends at once
-	deadline time.Time // for the read; zero for none
-	woken    bool
-	last     time.Time     // of the last message read or written
-	within   time.Duration // for a message to come whole; 0 for no limit
-	owed     func() bool   // whether answers are still to go out
-	ending   func(error)   // called before the last flush
-	spoken   bool          // a whole message has come
-	drain    time.Duration // that the peer has to end its side, after the half-close
-	end      Ending
-	opened   time.Time
-}
-
-// source is where a connection's bytes come from. It belongs to its goroutine.
-type source struct {
 	nc     net.Conn
-	nowait bool  // only what has come is read
-	err    error // by which the stream ended
-
-	halfRead func() bool // a part of a message was read before
-	readAt   time.Time   // when the last read gave something, or found nothing
-	partAt   time.Time   // the part that was there then was no whole message; zero for a message that came in one
-}
+	src    *source
+	r      *bufio.Reader
+	opened time.Time
 
-// Read implements io.Reader. Without waiting, a read that finds nothing fails with
-// os.ErrDeadlineExceeded, as an interrupted one does.
-func (s *source) Read(p []byte) (n int, err error) {
-	part := s.halfRead()
-	if s.nowait {
-		n, err = readNow(s.nc, p)
-	} else {
-		n, err = s.nc.Read(p)
-	}
-	if n == 0 && s.nowait && errors.Is(err, os.ErrDeadlineExceeded) { // all was read that had come
-		s.readAt = time.Now()
-	}
-	if n > 0 {
-		if part {
-			s.partAt = s.readAt
-		}
-		s.readAt = time.Now()
-	}
-	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-		s.err = err
-	}
-	return n, err
-}
+	// The goroutine of Serve alone.
+	examined bool // the last read found the socket empty
+	end      Ending
 
-// readNow reads what has come on a socket whatever its deadline; a connection that
-// is no socket has none.
-func readNow(nc net.Conn, p []byte) (n int, err error) {
-	sc, ok := nc.(syscall.Conn)
-	if !ok {
-		return 0, os.ErrDeadlineExceeded
-	}
-	raw, err := sc.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var readErr error
-	err = raw.Control(func(fd uintptr) { // the socket does not block
-		for {
-			if n, readErr = syscall.Read(int(fd), p); readErr != syscall.EINTR {
-				return
-			}
-		}
-	})
-	switch {
-	case err != nil:
-		return 0, err
-	case readErr == syscall.EAGAIN:
-		return 0, os.ErrDeadlineExceeded
-	case readErr != nil:
-		return 0, os.NewSyscallError("read", readErr)
-	case n == 0:
-		return 0, io.EOF
-	}
-	return n, nil
+	mu          sync.Mutex
+	state       state
+	requested   request
+	drainBy     time.Time // of the request drain
+	queue       []byte
+	aborted     bool      // ends at once
+	deadline    time.Time // for the read; zero for none
+	woken       bool
+	last        time.Time            // of the last message read or written
+	within      time.Duration        // for a message to come whole; 0 for no limit
+	owed        func() bool          // whether answers are still to go out
+	noticeLeft  func() time.Duration // until the peer has known for long enough that nothing new is wanted
+	ending      func(error)          // called before the last flush
+	spoken      bool                 // a whole message has come
+	drainPeriod time.Duration        // that the peer has to end its side, after the half-close
 }
 
 // NewConn wraps a network connection. Serve must be called to work it.
 func NewConn(nc net.Conn) *Conn {
-	src := &source{nc: nc}
 	now := time.Now()
-	c := &Conn{nc: nc, src: src, r: bufio.NewReaderSize(src, readBuffer), last: now, drain: drainFor, opened: now}
-	src.halfRead = func() bool { return c.r.Buffered() > 0 }
+	src := &source{nc: nc, readAt: now}
+	c := &Conn{nc: nc, src: src, r: bufio.NewReaderSize(src, readBuffer), last: now, drainPeriod: drainPeriod, opened: now}
+	src.partial = func() bool { return c.r.Buffered() > 0 }
 	return c
 }
 
@@ -161,11 +94,11 @@
 func (c *Conn) Send(p []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state >= closing || c.want == end || c.cut {
+	if c.state >= closing || c.requested == closeNow || c.aborted {
 		return false
 	}
 	if len(c.queue)+len(p) > queueLimit {
-		c.cut = true
+		c.aborted = true
 		c.nc.Close()
 		return false
 	}
@@ -175,29 +108,46 @@
 	return true
 }
 
-// ask puts a request to the connection's goroutine.
-func (c *Conn) ask(w want) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.want = max(c.want, w)
+// ask puts a request to the connection's goroutine. The lock is held.
+func (c *Conn) ask(r request) {
+	c.requested = max(c.requested, r)
 	c.interrupt()
 }
 
 // Close ends the connection once all that is queued is written.
-func (c *Conn) Close() { c.ask(end) }
+func (c *Conn) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ask(closeNow)
+}
 
-// Note has what has come by now read: of a message that is not whole then, CameAfter
+// Mark has what has come by now read: of a message that is not whole then, CameAfter
 // tells it.
-func (c *Conn) Note() { c.ask(note) }
+func (c *Conn) Mark() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ask(mark)
+}
 
-// Retire ends the connection if no part of a message has come. One that has come
-// but was not read yet is taken, and the connection goes on, as it does with a
-// message that was half read.
-func (c *Conn) Retire() { c.ask(retire) }
+// CloseIfIdle ends the connection if no part of a message has come and nothing is
+// owed on it. One that has come but was not read yet is taken, and the connection
+// goes on, as it does with a message that was half read.
+func (c *Conn) CloseIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ask(closeIfIdle)
+}
 
-// Finish ends the connection once nothing is owed on it. What has come whole by
-// now is taken first, and nothing that comes later.
-func (c *Conn) Finish() { c.ask(finish) }
+// Drain ends the connection as soon as nothing is owed on it and no part of a message
+// has come, and at the latest at a time. Until then messages are taken as before.
+func (c *Conn) Drain(by time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.requested < drain || by.Before(c.drainBy) {
+		c.drainBy = by
+	}
+	c.ask(drain)
+}
 
 // Wake interrupts the current step's read, so that the step can look again.
 func (c *Conn) Wake() {
@@ -212,13 +162,13 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.deadline = t
-	if len(c.queue) == 0 && c.want == goOn && !c.woken && c.state < halfClosed {
+	if len(c.queue) == 0 && c.requested == noRequest && !c.woken && c.state < halfClosed {
 		c.nc.SetReadDeadline(t)
 	}
 }
 
-// ExpectWithin sets how long after its first byte a message must be whole; the
-// first one that long after now, so that a peer which says nothing is ended too.
+// ExpectWithin sets how long a message may stand still before it is whole, and how
+// long the first may take to begin, so that a peer which says nothing is ended too.
 // Where answers are still owed by then, it ends after these. It must be called
 // before Serve.
 func (c *Conn) ExpectWithin(d time.Duration, owed func() bool) {
@@ -226,6 +176,11 @@
 	c.SetReadDeadline(time.Now().Add(d))
 }
 
+// NotifyBeforeEnd has a peer told before the connection is ended for want of messages:
+// f is called then, and returns for how long the peer is still to be waited for. It
+// must be called before Serve.
+func (c *Conn) NotifyBeforeEnd(f func() time.Duration) { c.noticeLeft = f }
+
 // OnEnd has f called once no more messages are taken and before the last flush,
 // with the reason: what it sends still goes out, if the peer reads. It must be
 // called before Serve.
@@ -238,11 +193,11 @@
 	return c.spoken
 }
 
-// Cut ends the connection at once.
-func (c *Conn) Cut() {
+// Abort ends the connection at once.
+func (c *Conn) Abort() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.cut = true
+	c.aborted = true
 	c.nc.Close() // also ends a write that the peer's full window blocks
 }
 
@@ -251,6 +206,10 @@
 // zero where the message came in one piece.
 func (c *Conn) CameAfter() time.Time { return c.src.partAt }
 
+// ReadAt tells, within a step, when the last byte of the message that the step has
+// read had come at the latest: it was read then.
+func (c *Conn) ReadAt() time.Time { return c.src.readAt }
+
 // IdleSince tells when a message was last read or queued.
 func (c *Conn) IdleSince() time.Time {
 	c.mu.Lock()
@@ -267,191 +226,3 @@
 		c.nc.SetReadDeadline(time.Unix(1, 0))
 	}
 }
-
-// Serve calls step for each message until it fails, and writes what is queued
-// in between. A read that was interrupted for that fails with
-// os.ErrDeadlineExceeded, and the step is called again. So a step must be
-// resumable: it peeks, and discards once whole. After a message that makes no
-// sense none is taken any more, but what is owed by then is still answered. The
-// connection is half-closed, drained and closed when Serve returns.
-func (c *Conn) Serve(step func(r *bufio.Reader) error) error {
-	defer c.close()
-	for {
-		if err := c.flush(); err != nil {
-			return c.abort(err)
-		}
-		done, look := c.next()
-		if done {
-			return c.halfClose(Closed, nil)
-		}
-		c.src.nowait = look
-		err := c.expect()
-		if err == nil {
-			err = step(c.r)
-		}
-		c.src.nowait = false
-		switch {
-		case err == nil:
-			c.taken()
-		case errors.Is(err, os.ErrDeadlineExceeded) && (!c.Expired() || c.extend()):
-			if look && c.settle(c.r.Buffered() > 0) {
-				return c.goDeaf(Idle, nil)
-			}
-		case c.src.err == nil && c.owes(): // the message makes no sense, and others are owed answers
-			return c.goDeaf(c.reason(err), err)
-		default:
-			return c.halfClose(c.reason(err), err)
-		}
-	}
-}
-
-// next tells whether the connection is done, and whether the next read is to take
-// only what has come: what was asked for depends on that.
-func (c *Conn) next() (done, look bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.want == end, c.want != goOn
-}
-
-// settle decides what was asked for after a look that found no whole message. It
-// tells whether the connection takes no more.
-func (c *Conn) settle(halfRead bool) (noMore bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.want == note || c.want == retire && halfRead {
-		c.want = goOn
-	}
-	return c.want == retire || c.want == finish
-}
-
-func (c *Conn) owes() bool { return c.owed != nil && c.owed() }
-
-// goDeaf reads and drops what comes until nothing is owed any more, then ends the
-// connection. It gives the error that it is called with.
-func (c *Conn) goDeaf(reason EndReason, why error) error {
-	c.mu.Lock()
-	c.state = deaf
-	c.mu.Unlock()
-	for done := false; !done && c.owes(); done, _ = c.next() {
-		c.mu.Lock()
-		c.deadline = time.Now().Add(owedEvery)
-		c.mu.Unlock()
-		if err := c.flush(); err != nil {
-			return c.abort(err)
-		}
-		if _, err := c.r.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return c.halfClose(c.reason(err), err)
-		}
-		c.discard()
-	}
-	return c.halfClose(reason, why)
-}
-
-// expect waits for a message's first byte, from which on its time counts.
-func (c *Conn) expect() error {
-	if c.within == 0 {
-		return nil
-	}
-	if _, err := c.r.Peek(1); err != nil {
-		return err
-	}
-	c.mu.Lock()
-	waiting := !c.deadline.IsZero()
-	c.mu.Unlock()
-	if !waiting {
-		c.SetReadDeadline(time.Now().Add(c.within))
-	}
-	return nil
-}
-
-// extend puts off the end of a connection whose message has not come whole, while
-// answers to others are owed on it.
-func (c *Conn) extend() bool {
-	if c.owed == nil || !c.owed() {
-		return false
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.deadline = time.Now().Add(owedEvery)
-	return true
-}
-
-// taken takes in that a whole message has come. A connection that was to retire
-// goes on with it.
-func (c *Conn) taken() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.last, c.spoken, c.src.partAt = time.Now(), true, time.Time{}
-	if c.want == retire {
-		c.want = goOn
-	}
-	if c.within > 0 {
-		c.deadline = time.Time{} // the next flush has the reads go by it
-	}
-}
-
-// halfClose writes what is queued, shuts the writing end and reads to the peer's
-// end, for a bounded time: a close over unread bytes would reset the connection
-// and could take the last answers away. It gives the error that it is called with.
-func (c *Conn) halfClose(reason EndReason, why error) error {
-	c.end.Reason, c.end.Partial = reason, c.r.Buffered()
-	if c.ending != nil {
-		c.ending(why)
-	}
-	c.mu.Lock()
-	c.state = closing // what comes to be sent from here on is told so
-	c.mu.Unlock()
-	if err := c.flush(); err != nil {
-		return cmp.Or(why, c.abort(err))
-	}
-	c.mu.Lock()
-	c.state = halfClosed
-	if c.cut {
-		c.mu.Unlock()
-		return why
-	}
-	c.nc.SetReadDeadline(time.Now().Add(c.drain))
-	c.mu.Unlock()
-	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		c.end.Discarded, _ = io.Copy(io.Discard, c.src)
-	}
-	return why
-}
-
-func (c *Conn) close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.state, c.cut = closed, true
-	c.nc.Close()
-}
-
-// Expired tells whether a read's time-out was the connection's own deadline.
-func (c *Conn) Expired() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.want == goOn && len(c.queue) == 0 && !c.deadline.IsZero() && !time.Now().Before(c.deadline)
-}
-
-// flush writes the queue and sets the deadline of the next read.
-func (c *Conn) flush() error {
-	for {
-		c.mu.Lock()
-		if c.cut {
-			c.mu.Unlock()
-			return ErrCutOff
-		}
-		if len(c.queue) == 0 {
-			c.woken = false
-			c.nc.SetReadDeadline(c.deadline)
-			c.mu.Unlock()
-			return nil
-		}
-		out := c.queue
-		c.queue = nil
-		c.mu.Unlock()
-		c.nc.SetWriteDeadline(time.Now().Add(writeTimeout))
-		if _, err := c.nc.Write(out); err != nil {
-			return fmt.Errorf("writing: %w", err)
-		}
-	}
-}
--- a/transport/conn_test.go
+++ b/transport/conn_test.go
@@ -141,14 +141,14 @@
 	})
 }
 
-// TestRetire guards against an end that loses half a message: it may be a
+// TestCloseIfIdle guards against an end that loses half a message: it may be a
 // request, which is owed an answer once it is whole.
-func TestRetire(t *testing.T) {
+func TestCloseIfIdle(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := newPeer()
 		defer p.Close()
 		p.Write([]byte("ha"))
-		p.conn.Retire()
+		p.conn.CloseIfIdle()
 		synctest.Wait()
 		p.Write([]byte("l"))
 		synctest.Wait()
@@ -160,7 +160,7 @@
 			t.Fatalf("it ends with %v", err)
 		default:
 		}
-		p.conn.Retire()
+		p.conn.CloseIfIdle()
 		if err := <-p.ended; err != nil {
 			t.Errorf("it ends with %v", err)
 		}
--- a/transport/crossing_test.go
+++ b/transport/crossing_test.go
@@ -61,7 +61,7 @@
 	far = nc.(*net.TCPConn)
 	g = &gated{TCPConn: near.(*net.TCPConn), leave: make(chan struct{}), seen: make(chan struct{}, 1), closed: make(chan struct{})}
 	c = NewConn(g)
-	c.drain = time.Minute // the tests end it
+	c.drainPeriod = time.Minute // the tests end it
 	t.Cleanup(func() { far.Close(); near.Close() })
 	return g, c, far, func() chan error {
 		ended := make(chan error, 1)
@@ -86,6 +86,9 @@
 	}
 }
 
+// drainNow ends a connection at once but for what has come whole.
+func drainNow(c *Conn) { c.Drain(time.Now()) }
+
 var errBad = errors.New("no message")
 
 func write(t *testing.T, nc net.Conn, s string) {
@@ -111,10 +114,10 @@
 }
 
 // TestEndCrossesMessage: a message arrives on a resting connection at the moment
-// at which that is to end, before it is read. It is taken and answered. Retire goes
-// on with the connection then, Finish ends it.
+// at which that is to end, before it is read. It is taken and answered. CloseIfIdle goes
+// on with the connection then, Drain ends it.
 func TestEndCrossesMessage(t *testing.T) {
-	for name, end := range map[string]func(*Conn){"retire": (*Conn).Retire, "finish": (*Conn).Finish} {
+	for name, end := range map[string]func(*Conn){"retire": (*Conn).CloseIfIdle, "finish": drainNow} {
 		t.Run(name, func(t *testing.T) {
 			g, c, far, serve := sockets(t, func(c *Conn, m string) { c.Send([]byte("re " + m)) })
 			ended := serve() // its read stands at the gate
@@ -125,7 +128,7 @@
 			if name == "retire" {
 				write(t, far, "two")
 				read(t, far, "re two", false)
-				c.Retire() // now it rests
+				c.CloseIfIdle() // now it rests
 				read(t, far, "", true)
 			}
 			far.Close()
@@ -136,18 +139,18 @@
 	}
 }
 
-// TestEndCrossesHalfMessage: half a message has come. Retire leaves it its time;
-// Finish does not, and a close over the rest of it takes no answer along.
+// TestEndCrossesHalfMessage: half a message has come. CloseIfIdle leaves it its time;
+// Drain does not, and a close over the rest of it takes no answer along.
 func TestEndCrossesHalfMessage(t *testing.T) {
 	g, c, far, serve := sockets(t, func(c *Conn, m string) { c.Send([]byte("re " + m)) })
 	ended := serve()
 	write(t, far, "oneha")
-	c.Retire()
+	c.CloseIfIdle()
 	close(g.leave)
 	read(t, far, "re one", false)
 	write(t, far, "ltw")
 	read(t, far, "re hal", false)
-	c.Finish()
+	c.Drain(time.Now())
 	read(t, far, "", true)
 	write(t, far, "o and more that nobody takes")
 	far.CloseWrite()
@@ -166,7 +169,7 @@
 	c.Send([]byte("last"))
 	c.Close()
 	read(t, far, "last", true)
-	for _, again := range []func(*Conn){(*Conn).Close, (*Conn).Wake, (*Conn).Retire, (*Conn).Finish} {
+	for _, again := range []func(*Conn){(*Conn).Close, (*Conn).Wake, (*Conn).CloseIfIdle, drainNow} {
 		again(c)
 		write(t, far, "unread")
 		select {
--- a/transport/ending.go
+++ b/transport/ending.go
@@ -18,6 +18,7 @@
 	BadMessage  EndReason = "bad_message"  // the peer sent what is no message
 	ReadTimeout EndReason = "read_timeout" // no whole message came in time
 	Idle        EndReason = "idle"         // it was asked to end, and nothing was open on it
+	Drained     EndReason = "drained"      // it was asked to drain, and nothing was open on it or its time was over
 	Closed      EndReason = "closed"       // it was asked to end whatever comes
 	WriteFailed EndReason = "write_failed" // what was queued could not be written
 	CutOff      EndReason = "cut_off"      // it was ended at once, or its peer left too much unread
@@ -27,6 +28,7 @@
 // have been lost with.
 type Ending struct {
 	Reason    EndReason
+	Owed      bool  // answers were owed when it began to end
 	Partial   int   // bytes of a message that was not whole when reading ended
 	Discarded int64 // bytes that came later and were dropped
 }
--- /dev/null
+++ b/transport/write.go
@@ -0,0 +1,65 @@
+package transport
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"time"
+)
+
+// A flush is given up after so many attempts in a row that write nothing. Each has a
+// deadline of its own: a process that stood still over one has not tried.
+const (
+	writeAttempt  = 500 * time.Millisecond
+	writeAttempts = 10
+	writeTimeout  = writeAttempts * writeAttempt
+)
+
+// flush writes the queue and sets the deadline of the next read.
+func (c *Conn) flush() error {
+	for {
+		c.mu.Lock()
+		if c.aborted {
+			c.mu.Unlock()
+			return ErrCutOff
+		}
+		if len(c.queue) == 0 {
+			c.woken = false
+			c.nc.SetReadDeadline(c.deadline)
+			c.mu.Unlock()
+			return nil
+		}
+		out := c.queue
+		c.queue = nil
+		c.mu.Unlock()
+		if err := c.write(out); err != nil {
+			return fmt.Errorf("writing: %w", err)
+		}
+	}
+}
+
+// write writes all of p. What the system refuses for a moment is tried again, from
+// the byte on that was not written.
+func (c *Conn) write(p []byte) error {
+	for failed := 0; len(p) > 0; {
+		c.nc.SetWriteDeadline(time.Now().Add(writeAttempt))
+		n, err := c.nc.Write(p)
+		p = p[n:]
+		if n > 0 {
+			failed = 0
+		}
+		switch {
+		case err == nil:
+		case errors.Is(err, os.ErrDeadlineExceeded), temporary(err):
+			if failed++; failed >= writeAttempts {
+				return err
+			}
+			if temporary(err) {
+				time.Sleep(temporaryPause)
+			}
+		default:
+			return err
+		}
+	}
+	return nil
+}
