--- a/internal/faultsoak/client.go
+++ b/internal/faultsoak/client.go
@@ -46,6 +46,7 @@
 	gone     map[int32]*Request // given up: an answer does no harm
 	answered *sync.Cond
 	closed   bool // by the client
+	expired  bool // the wait for answers has lasted long enough
 }
 
 // Dial opens a connection to a node.
@@ -151,6 +152,24 @@
 	}
 }
 
+// awaitAnswers waits until nothing is open on the connection, it has ended, or
+// clientTimeout has passed.
+func (c *Client) awaitAnswers() {
+	stop := time.AfterFunc(clientTimeout, func() {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.expired = true
+		c.answered.Broadcast()
+	})
+	defer stop.Stop()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for len(c.open) > 0 && !c.expired {
+		c.answered.Wait()
+	}
+	c.expired = false
+}
+
 // Open gives how many requests have no answer yet.
 func (c *Client) Open() int {
 	c.mu.Lock()
--- /dev/null
+++ b/internal/faultsoak/faults.go
@@ -0,0 +1,310 @@
+package faultsoak
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const (
+	controlTimeout = time.Second
+	// lastMoments before a kill a node is not paused: one that stands still when it is
+	// killed can't answer.
+	lastMoments = 1200 * time.Millisecond
+	crowdSize   = 200
+)
+
+// operator plays faults on one node. Each kind has a goroutine of its own, so that they
+// overlap.
+type operator struct {
+	node    *Node
+	history *History
+	fail    func(format string, args ...any) // a step that must succeed did not
+
+	configuring sync.Mutex // the configuration file may be spoilt
+
+	mu     sync.Mutex
+	killAt time.Time // of a drain; zero else
+	// expected is set while the process may end.
+	expected bool
+}
+
+// fault plays once and returns when it is over.
+type fault func(ctx context.Context, o *operator, rng *rand.Rand)
+
+// faultLoops lists what each node suffers: a loop draws one of its faults again and
+// again, with pauses between least and most.
+var faultLoops = []struct {
+	least, most time.Duration
+	faults      []fault
+}{
+	{300 * time.Millisecond, 4 * time.Second, []fault{shortPause, shortPause, longPause}},
+	{4 * time.Second, 12 * time.Second, []fault{restart, restart, crash}},
+	{500 * time.Millisecond, 4 * time.Second, []fault{processorResets, processorSilent, processorRefuses}},
+	{time.Second, 5 * time.Second, []fault{ledgerResets, ledgerSilent, ledgerRefuses}},
+	{time.Second, 5 * time.Second, []fault{announceResets, announceSilent, announceRefuses}},
+	{time.Second, 6 * time.Second, []fault{reloadGood, reloadSpoilt, reloadCut}},
+	{2 * time.Second, 8 * time.Second, []fault{sendAway}},
+	{2 * time.Second, 8 * time.Second, []fault{crowd}},
+}
+
+// play starts all loops of a node. They end with ctx.
+func (o *operator) play(ctx context.Context, rngs func() *rand.Rand, done *sync.WaitGroup) {
+	for _, loop := range faultLoops {
+		rng := rngs()
+		done.Go(func() {
+			for pause(ctx, between(rng, loop.least, loop.most)) {
+				loop.faults[rng.IntN(len(loop.faults))](ctx, o, rng)
+			}
+		})
+	}
+}
+
+func (o *operator) record(kind EventKind) {
+	o.history.Add(Event{Node: o.node.Name, Kind: kind, At: time.Now()})
+}
+
+// --- The process ---
+
+func shortPause(_ context.Context, o *operator, rng *rand.Rand) {
+	o.pause(between(rng, 60*time.Millisecond, 400*time.Millisecond))
+}
+
+func longPause(_ context.Context, o *operator, rng *rand.Rand) {
+	o.pause(between(rng, 700*time.Millisecond, 2500*time.Millisecond))
+}
+
+// pause has the process stand still.
+func (o *operator) pause(d time.Duration) {
+	o.mu.Lock()
+	ends := o.killAt
+	o.mu.Unlock()
+	if !ends.IsZero() && time.Until(ends) < d+lastMoments {
+		return
+	}
+	at := time.Now()
+	if o.node.Signal(syscall.SIGSTOP) != nil {
+		return // it has ended
+	}
+	time.Sleep(d)
+	_ = o.node.Signal(syscall.SIGCONT) // it may have been killed
+	o.history.Add(Event{Node: o.node.Name, Kind: Paused, At: at, Till: time.Now()})
+}
+
+func (o *operator) expect(ended bool, killAt time.Time) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.expected, o.killAt = ended, killAt
+}
+
+// restart drains the process, kills it when the platform would, and starts another.
+func restart(_ context.Context, o *operator, _ *rand.Rand) {
+	notice := time.Now()
+	o.expect(true, notice.Add(LongestStop))
+	o.history.Add(Event{Node: o.node.Name, Kind: Terminated, At: notice})
+	if err := o.node.Signal(syscall.SIGTERM); err != nil {
+		o.fail("%v", err)
+		return
+	}
+	select {
+	case <-o.node.Exited():
+		o.record(Exited)
+	case <-time.After(time.Until(notice.Add(LongestStop))):
+		o.record(Killed)
+		o.node.Kill()
+	}
+	o.launch()
+}
+
+// crash kills the process without notice and starts another.
+func crash(_ context.Context, o *operator, _ *rand.Rand) {
+	o.expect(true, time.Time{})
+	o.record(Crashed)
+	o.node.Kill()
+	o.launch()
+}
+
+func (o *operator) launch() {
+	o.configuring.Lock()
+	defer o.configuring.Unlock()
+	if err := o.node.Launch(); err != nil {
+		o.fail("%v", err)
+		return
+	}
+	o.record(Restarted)
+	o.expect(false, time.Time{})
+}
+
+// watch reports a process that ends though nobody ended it.
+func (o *operator) watch(ctx context.Context) {
+	for {
+		exited := o.node.Exited()
+		select {
+		case <-ctx.Done():
+			return
+		case <-exited:
+		}
+		o.mu.Lock()
+		expected := o.expected
+		o.mu.Unlock()
+		if !expected && ctx.Err() == nil {
+			o.fail("%s ended by itself: %v", o.node.Name, o.node.Ended())
+			return
+		}
+		if !pause(ctx, redialPause) {
+			return
+		}
+	}
+}
+
+// --- The parties around it ---
+
+// disturb plays one fault of a relay.
+func (o *operator) disturb(ctx context.Context, relay *Relay, kind EventKind, mode RelayMode, d time.Duration) {
+	o.record(kind)
+	relay.SetMode(mode)
+	pause(ctx, d)
+	relay.SetMode(Forward)
+}
+
+// resets resets a relay's connections again and again.
+func (o *operator) resets(ctx context.Context, relay *Relay, kind EventKind, rng *rand.Rand) {
+	o.record(kind)
+	for range 1 + rng.IntN(12) {
+		relay.Reset()
+		if !pause(ctx, between(rng, 20*time.Millisecond, 500*time.Millisecond)) {
+			return
+		}
+	}
+}
+
+func outage(rng *rand.Rand) time.Duration {
+	return between(rng, 100*time.Millisecond, 3*time.Second)
+}
+
+func processorResets(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.resets(ctx, o.node.ProcessorRelay, ProcessorBad, rng)
+}
+
+func processorSilent(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.disturb(ctx, o.node.ProcessorRelay, ProcessorBad, Silent, outage(rng))
+}
+
+func processorRefuses(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.disturb(ctx, o.node.ProcessorRelay, ProcessorBad, Refuse, outage(rng))
+}
+
+func ledgerResets(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.resets(ctx, o.node.LedgerRelay, LedgerBad, rng)
+}
+
+func ledgerSilent(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.disturb(ctx, o.node.LedgerRelay, LedgerBad, Silent, outage(rng))
+}
+
+func ledgerRefuses(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.disturb(ctx, o.node.LedgerRelay, LedgerBad, Refuse, outage(rng))
+}
+
+func announceResets(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.resets(ctx, o.node.AnnounceRelay, AnnounceBad, rng)
+}
+
+func announceSilent(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.disturb(ctx, o.node.AnnounceRelay, AnnounceBad, Silent, outage(rng))
+}
+
+func announceRefuses(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.disturb(ctx, o.node.AnnounceRelay, AnnounceBad, Refuse, outage(rng))
+}
+
+// --- Operators' steps ---
+
+func (o *operator) reload(write error) {
+	if write != nil {
+		o.fail("%v", write)
+		return
+	}
+	o.record(Reloaded)
+	_ = o.node.Signal(syscall.SIGHUP) // it may have ended
+}
+
+func reloadGood(_ context.Context, o *operator, _ *rand.Rand) { o.reload(o.node.WriteConfig(nil)) }
+
+func reloadSpoilt(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.configuring.Lock()
+	defer o.configuring.Unlock()
+	o.reload(o.node.WriteConfigText("no JSON"))
+	pause(ctx, between(rng, 0, 300*time.Millisecond))
+	o.restoreConfig()
+}
+
+func reloadCut(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.configuring.Lock()
+	defer o.configuring.Unlock()
+	o.reload(o.node.WriteConfig(map[string]any{"settings": map[string]any{}}))
+	pause(ctx, between(rng, 0, 300*time.Millisecond))
+	o.restoreConfig()
+}
+
+// restoreConfig puts the good file back, which a restart reads.
+func (o *operator) restoreConfig() {
+	if err := o.node.WriteConfig(nil); err != nil {
+		o.fail("%v", err)
+	}
+}
+
+// sendAway has callers sent away and fetched back.
+func sendAway(ctx context.Context, o *operator, rng *rand.Rand) {
+	if o.call("drain-on") {
+		o.record(SentAway)
+	}
+	pause(ctx, between(rng, 200*time.Millisecond, 5*time.Second))
+	if o.call("drain-off") {
+		o.record(FetchedBack)
+	}
+}
+
+// call makes one operators' call. A node that stands still or is down answers none.
+func (o *operator) call(line string) bool {
+	dialer := net.Dialer{Timeout: controlTimeout}
+	conn, err := dialer.DialContext(context.Background(), "tcp", o.node.Control)
+	if err != nil {
+		return false
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(controlTimeout)) // a call without it waits longer
+	if _, err := fmt.Fprintf(conn, "%s\n", line); err != nil {
+		return false
+	}
+	answer, err := bufio.NewReader(conn).ReadString('\n')
+	return err == nil && strings.HasPrefix(answer, "done")
+}
+
+// crowd opens connections that say nothing.
+func crowd(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.record(Crowded)
+	var conns []net.Conn
+	for range crowdSize/2 + rng.IntN(crowdSize/2) {
+		dialer := net.Dialer{Timeout: clientDialTimeout}
+		conn, err := dialer.DialContext(ctx, "tcp", o.node.Address)
+		if err != nil {
+			break
+		}
+		conns = append(conns, conn)
+	}
+	pause(ctx, between(rng, 100*time.Millisecond, 3*time.Second))
+	for _, conn := range conns {
+		if rng.IntN(2) == 0 {
+			reset(conn)
+		} else {
+			_ = conn.Close()
+		}
+	}
+}
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -91,19 +91,20 @@
 	f.ended(c, lost)
 }
 
-// ended reports a connection's end. One that ends over bytes that were not taken, or
-// with requests that have no answer, is logged whatever the level: a request may have
+// ended reports a connection's end. One that this process ended over bytes that were not
+// taken, or with requests that have no answer, is logged as a warning: a request may have
 // been lost with it.
 func (f *thriftFront) ended(c *transport.Conn, lost int) {
 	end := c.End()
 	f.observer.connectionEnded(end.Reason)
 	level := slog.LevelDebug
-	ownDecision := end.Reason != transport.PeerClosed && end.Reason != transport.PeerFailed
-	if ownDecision && (lost > 0 || end.Partial > 0 || end.Discarded > 0) {
-		level = slog.LevelWarn
-	}
-	if ownDecision && end.Owed {
-		f.monitor.Violated(guard.LostRequest, "peer", c.PeerAddr(), "reason", string(end.Reason))
+	if end.Reason.Own() {
+		if lost > 0 || end.Partial > 0 || end.Discarded > 0 {
+			level = slog.LevelWarn
+		}
+		if end.Owed {
+			f.monitor.Violated(guard.LostRequest, "peer", c.PeerAddr(), "reason", string(end.Reason))
+		}
 	}
 	f.log.Log(context.Background(), level, "connection_ended", "reason", string(end.Reason), "peer", c.PeerAddr(),
 		"open_for", c.Age().Round(time.Millisecond).String(), "unanswered", lost, "partial_bytes", end.Partial,
--- a/transport/ending.go
+++ b/transport/ending.go
@@ -24,6 +24,16 @@
 	CutOff      EndReason = "cut_off"      // it was ended at once, or its peer left too much unread
 )
 
+// Own reports whether the connection ended by a decision of this process, and not by
+// what its peer did.
+func (r EndReason) Own() bool {
+	switch r {
+	case PeerClosed, PeerFailed, BadMessage:
+		return false
+	}
+	return true
+}
+
 // Ending is how a connection ended. Bytes that were not taken are what a request may
 // have been lost with.
 type Ending struct {
--- a/transport/server.go
+++ b/transport/server.go
@@ -30,6 +30,14 @@
 // of its request.
 const lastAccepts = 20 * time.Millisecond
 
+// acceptPause is how long accepting rests after an error, so that one that lasts takes
+// no core, and shutExcess how many connections over the limit are still taken in by a
+// server that shuts.
+const (
+	acceptPause = 10 * time.Millisecond
+	shutExcess  = 16
+)
+
 // crowdedShare is the part of the limit from which on room is asked for, and
 // crowdedAgain how often that is done while one waits for it.
 const (
@@ -84,11 +92,15 @@
 	s.mu.Unlock()
 	for {
 		nc, err := s.listener.Accept()
-		if errors.Is(err, net.ErrClosed) || errors.Is(err, os.ErrDeadlineExceeded) {
+		switch {
+		case errors.Is(err, os.ErrDeadlineExceeded) && hasWaiting(s.listener):
+			s.extend() // the process stood still over the deadline
+			continue
+		case errors.Is(err, net.ErrClosed), errors.Is(err, os.ErrDeadlineExceeded):
 			return nil
-		}
-		if err != nil { // descriptors ran out, say: what is open goes on
-			time.Sleep(10 * time.Millisecond)
+		case err != nil: // descriptors ran out, say: what is open goes on
+			s.crowded()
+			time.Sleep(acceptPause)
 			continue
 		}
 		if !s.admit() {
@@ -102,8 +114,14 @@
 	}
 }
 
+// extend puts off the deadline of a server that shuts.
+func (s *Server) extend() bool {
+	l, ok := s.listener.(interface{ SetDeadline(time.Time) error })
+	return ok && l.SetDeadline(time.Now().Add(lastAccepts)) == nil
+}
+
 // admit counts a connection in, and returns once there is room for it. A server
-// that shuts does not wait for that: it takes the one more, and closes the others.
+// that shuts does not wait for that: it takes some more, and closes the others.
 func (s *Server) admit() bool {
 	s.mu.Lock()
 	s.open++
@@ -121,10 +139,10 @@
 		select {
 		case <-s.freed:
 		case <-s.leaving:
-			if open > limit+1 {
+			if open > limit+shutExcess {
 				s.left()
 			}
-			return open <= limit+1
+			return open <= limit+shutExcess
 		case <-time.After(crowdedAgain):
 		}
 	}
@@ -161,8 +179,8 @@
 	running := s.running
 	s.hurry()
 	s.mu.Unlock()
-	if l, ok := s.listener.(interface{ SetDeadline(time.Time) error }); ok && running != nil &&
-		l.SetDeadline(time.Now().Add(lastAccepts)) == nil {
+	dropNewConnections(s.listener)
+	if running != nil && s.extend() {
 		<-running
 	}
 	s.Close()
