--- a/cmd/fault-soak/main.go
+++ b/cmd/fault-soak/main.go
@@ -28,6 +28,7 @@
 	Nodes   int    `default:"12" help:"Processes of the program at a time (10 to 40)."`
 	Seconds int    `default:"20" help:"How long faults are played for each seed."`
 	Binary  string `help:"The program; built from the source where it is not given."                type:"path"`
+	System  bool   `help:"Also have system calls fail and Unix time stepped; builds the program with the fault layer."`
 	Logs    string `help:"Folder for the logs of the nodes of seeds that broke a rule."             type:"path"`
 }
 
@@ -56,14 +57,18 @@
 	}
 	defer func() { _ = os.RemoveAll(dir) }() // what is left lies among temporary files
 	if c.Binary == "" {
-		if c.Binary, err = fleettest.Build(dir); err != nil {
+		build := fleettest.Build
+		if c.System {
+			build = faultsoak.BuildWithFaults
+		}
+		if c.Binary, err = build(dir); err != nil {
 			return 0, err
 		}
 	}
 	for seed := c.First; seed < c.First+c.Seeds; seed++ {
 		result, err := faultsoak.Soak(ctx, faultsoak.SoakOptions{
 			Seed: seed, Nodes: c.Nodes, Duration: time.Duration(c.Seconds) * time.Second, Binary: c.Binary,
-			Dir: filepath.Join(dir, fmt.Sprint(seed)),
+			Dir: filepath.Join(dir, fmt.Sprint(seed)), Faults: c.System,
 		})
 		if err != nil {
 			return broken, err
--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -28,6 +29,7 @@
 	fail    func(format string, args ...any) // a step that must succeed did not
 
 	configuring sync.Mutex // the configuration file may be spoilt
+	wallSeconds int64      // by which Unix time is off; of the loop of system faults alone
 
 	mu     sync.Mutex
 	killAt time.Time // of a drain; zero else
@@ -38,12 +40,15 @@
 // fault plays once and returns when it is over.
 type fault func(ctx context.Context, o *operator, rng *rand.Rand)
 
+// faultLoop draws one of its faults again and again.
+type faultLoop struct {
+	least, most time.Duration // between two of them
+	faults      []fault
+}
+
 // faultLoops lists what each node suffers: a loop draws one of its faults again and
 // again, with pauses between least and most.
-var faultLoops = []struct {
-	least, most time.Duration
-	faults      []fault
-}{
+var faultLoops = []faultLoop{
 	{300 * time.Millisecond, 4 * time.Second, []fault{shortPause, shortPause, longPause}},
 	{4 * time.Second, 12 * time.Second, []fault{restart, restart, crash}},
 	{500 * time.Millisecond, 4 * time.Second, []fault{processorResets, processorSilent, processorRefuses}},
@@ -54,9 +59,16 @@
 	{2 * time.Second, 8 * time.Second, []fault{crowd}},
 }
 
+// systemLoop is what a node of a build with faults suffers beside.
+var systemLoop = faultLoop{200 * time.Millisecond, 3 * time.Second, []fault{systemCallsFail, systemCallsFail, wallClockSteps}}
+
 // play starts all loops of a node. They end with ctx.
 func (o *operator) play(ctx context.Context, rngs func() *rand.Rand, done *sync.WaitGroup) {
-	for _, loop := range faultLoops {
+	loops := faultLoops
+	if o.node.Faults {
+		loops = append(slices.Clone(loops), systemLoop)
+	}
+	for _, loop := range loops {
 		rng := rngs()
 		done.Go(func() {
 			for pause(ctx, between(rng, loop.least, loop.most)) {
@@ -308,3 +320,61 @@
 		}
 	}
 }
+
+// --- The system below ---
+
+// systemFaults lists how system calls fail, as Linux documents it. What fails for good
+// on a real socket, as a reset does, is left to the relays and clients.
+var systemFaults = []FaultRule{
+	{Call: "read", Probability: 0.3},
+	{Call: "write", Probability: 0.3},
+	{Call: "read", Probability: 0.2, Errno: syscall.EINTR},
+	{Call: "write", Probability: 0.2, Errno: syscall.EINTR},
+	{Call: "read", Probability: 0.02, Errno: syscall.ETIMEDOUT},
+	{Call: "read", Probability: 0.02, Errno: syscall.EHOSTUNREACH, Burst: 1},
+	{Call: "write", Probability: 0.02, Errno: syscall.ENOBUFS, Burst: 2},
+	{Call: "write", Probability: 0.02, Errno: syscall.ETIMEDOUT},
+	{Call: "write", Probability: 0.02, Errno: syscall.EHOSTUNREACH, Burst: 1},
+	{Call: "accept4", Probability: 0.3, Errno: syscall.ECONNABORTED, Burst: 3},
+	{Call: "accept4", Probability: 0.3, Errno: syscall.EMFILE, Burst: 5},
+	{Call: "accept4", Probability: 0.3, Errno: syscall.ENFILE, Burst: 5},
+	{Call: "accept4", Probability: 0.3, Errno: syscall.ENOBUFS, Burst: 5},
+	{Call: "accept4", Probability: 0.3, Errno: syscall.ENOMEM, Burst: 5},
+	{Call: "accept4", Probability: 0.3, Errno: syscall.EPERM, Burst: 2},
+	{Call: "accept4", Probability: 0.3, Errno: syscall.EINTR, Burst: 2},
+	{Call: "connect", Probability: 0.5, Errno: syscall.EADDRNOTAVAIL, Burst: 3},
+	{Call: "connect", Probability: 0.5, Errno: syscall.ENETUNREACH, Burst: 3},
+	{Call: "connect", Probability: 0.5, Errno: syscall.EHOSTUNREACH, Burst: 3},
+	{Call: "connect", Probability: 0.5, Errno: syscall.ETIMEDOUT, Burst: 3},
+	{Call: "connect", Probability: 0.5, Errno: syscall.EAGAIN, Burst: 3},
+	{Call: "socket", Probability: 0.5, Errno: syscall.EMFILE, Burst: 3},
+	{Call: "socket", Probability: 0.5, Errno: syscall.ENFILE, Burst: 3},
+	{Call: "socket", Probability: 0.5, Errno: syscall.ENOBUFS, Burst: 3},
+}
+
+// wallSteps are seconds by which Unix time may be off.
+var wallSteps = []int64{-3600, -60, -5, -1, 1, 5, 60, 3600}
+
+// tell gives the fault layer a plan. A node that stands still or is down takes none.
+func (o *operator) tell(plan FaultPlan) {
+	if o.node.SetFaults(plan) == nil {
+		o.record(SystemBad)
+	}
+}
+
+// systemCallsFail has some system calls fail for a while.
+func systemCallsFail(ctx context.Context, o *operator, rng *rand.Rand) {
+	plan := FaultPlan{Seed: rng.Uint64(), WallSeconds: o.wallSeconds}
+	for range 1 + rng.IntN(4) {
+		plan.Rules = append(plan.Rules, systemFaults[rng.IntN(len(systemFaults))])
+	}
+	o.tell(plan)
+	pause(ctx, between(rng, 200*time.Millisecond, 3*time.Second))
+	o.tell(FaultPlan{WallSeconds: o.wallSeconds})
+}
+
+// wallClockSteps steps the Unix time that the process sees.
+func wallClockSteps(_ context.Context, o *operator, rng *rand.Rand) {
+	o.wallSeconds = wallSteps[rng.IntN(len(wallSteps))]
+	o.tell(FaultPlan{WallSeconds: o.wallSeconds})
+}
--- a/internal/faultsoak/history.go
+++ b/internal/faultsoak/history.go
@@ -80,6 +80,7 @@
 	AnnounceBad  EventKind = "announce"
 	Reloaded     EventKind = "reload"
 	Crowded      EventKind = "crowd"
+	SystemBad    EventKind = "system"
 )
 
 // History is all that clients saw and all that was played. It is safe for concurrent
--- a/internal/faultsoak/node.go
+++ b/internal/faultsoak/node.go
@@ -33,6 +33,7 @@
 	Took   time.Duration  // of a run, for bodies that name no other
 	Env    []string       // of the process, beside the test's own
 	Args   []string
+	Faults bool // Binary is of a build with faults
 }
 
 // Run is a run that the processor began.
@@ -48,6 +49,7 @@
 	NodeConfig
 
 	Address, Control string
+	FaultsAddress    string // of the fault layer; "" without one
 	Work             *standin.Work
 	Processor        *standin.Processor
 	Ledger           *standin.Ledger
@@ -72,7 +74,11 @@
 		n.Close()
 		return nil, err
 	}
-	for _, address := range []*string{&n.Address, &n.Control} {
+	addresses := []*string{&n.Address, &n.Control}
+	if config.Faults {
+		addresses = append(addresses, &n.FaultsAddress)
+	}
+	for _, address := range addresses {
 		listener, err := listenAnywhere()
 		if err != nil {
 			n.Close()
@@ -175,7 +181,7 @@
 // Launch starts the process, anew after it has ended, and returns once it listens.
 func (n *Node) Launch() error {
 	cmd := exec.CommandContext(context.Background(), n.Binary, n.Args...)
-	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+n.config), n.Env...)
+	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+n.config, "QUINCERAIL_FAULTS="+n.FaultsAddress), n.Env...)
 	stderr, err := cmd.StderrPipe()
 	if err != nil {
 		return fmt.Errorf("faultsoak: %w", err)
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -21,6 +21,7 @@
 	Binary   string
 	Dir      string
 	Env      []string
+	Faults   bool // Binary is of a build with faults
 }
 
 // SoakResult is what a soak found.
@@ -113,6 +114,7 @@
 		}
 		n, err := StartNode(NodeConfig{
 			Name: name, Binary: s.opt.Binary, Dir: dir, Config: config, Took: 5 * time.Millisecond, Env: s.opt.Env,
+			Faults: s.opt.Faults,
 		})
 		if err != nil {
 			return nodes, err
