Let all connections in that wait as a server shuts, as room is made

Change: a server that shuts has new attempts dropped and goes on letting in what has connected as room is made, until it is closed near the stop; a signal is dated to a stall only within 100 ms after it.

--- a/program/program.go
+++ b/program/program.go
@@ -458,7 +458,7 @@
 	s.phase("refusing")
 	for i, d := range s.doors {
 		if i > 0 || s.handover == nil {
-			d.server.Shut()
+			go d.server.Shut() // until all that has connected is let in, or it is closed
 		}
 		d.front.refuseLate()
 	}
--- a/routing/stall.go
+++ b/routing/stall.go
@@ -10,7 +10,7 @@
 // after that may have been sent at any time of it.
 const (
 	stallFrom   = 50 * time.Millisecond
-	stallRecent = 250 * time.Millisecond
+	stallRecent = 100 * time.Millisecond
 )
 
 // stallWatch knows the spans in which the process stood still. The core's goroutine
--- a/transport/crossing_test.go
+++ b/transport/crossing_test.go
@@ -324,3 +324,86 @@
 	}
 	<-s.Empty()
 }
+
+// TestShutWaitsForRoom: connections that wait for room as their server shuts are let in
+// one after the other, with what was written to them, and new ones are refused then.
+func TestShutWaitsForRoom(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s := NewServer(l, 1, func(c *Conn) {
+		c.Serve(func(r *bufio.Reader) error {
+			b, err := r.Peek(frame)
+			if err == nil {
+				c.Send(append([]byte("re "), b...))
+				r.Discard(frame)
+			}
+			return err
+		})
+	}, func() {})
+	go s.Run()
+	const waiting = 2 * shutExcess
+	var conns []net.Conn
+	for range waiting {
+		nc, err := net.Dial("tcp", l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer nc.Close()
+		write(t, nc, "one")
+		conns = append(conns, nc)
+	}
+	read(t, conns[0], "re one", false) // the others wait
+	shut := make(chan struct{})
+	go func() { s.Shut(); close(shut) }()
+	for _, nc := range conns[1:] {
+		conns[0].Close()
+		read(t, nc, "re one", false)
+		conns[0] = nc
+	}
+	conns[0].Close()
+	<-shut
+	<-s.Empty()
+	if nc, err := net.Dial("tcp", l.Addr().String()); err == nil {
+		nc.Close()
+		t.Error("a server that has shut takes connections")
+	}
+}
+
+// stalledListener stands still over the first deadline that it is given.
+type stalledListener struct {
+	*net.TCPListener
+	stalled bool
+}
+
+// SetDeadline implements the deadline of a net.Listener.
+func (s *stalledListener) SetDeadline(t time.Time) error {
+	if !s.stalled {
+		s.stalled, t = true, time.Unix(1, 0)
+	}
+	return s.TCPListener.SetDeadline(t)
+}
+
+// TestShutAfterAStall: a server whose process stands still over the deadline of its last
+// accepts still lets in what has connected.
+func TestShutAfterAStall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	served := make(chan *Conn, 9)
+	s := NewServer(&stalledListener{TCPListener: l.(*net.TCPListener)}, 9, func(c *Conn) { served <- c }, func() {})
+	shut := make(chan struct{})
+	nc, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer nc.Close()
+	s.running = make(chan struct{}) // as if Run had been called
+	s.extend()
+	go func() { s.Run(); close(shut) }()
+	<-served
+	<-shut
+	s.Close()
+}
--- a/transport/server.go
+++ b/transport/server.go
@@ -19,7 +19,7 @@
 	mu      sync.Mutex
 	open    int           // connections, with one that waits for room
 	freed   chan struct{} // holds one word that a connection has ended
-	leaving chan struct{} // closed once the server shuts: none waits for room any more
+	closing chan struct{} // closed by Close: none waits for room any more
 	empty   chan struct{} // closed when no connection is open after Close
 	shut    bool
 	running chan struct{} // closed when Run returns; nil before it runs
@@ -69,7 +69,7 @@
 func NewServer(l net.Listener, limit int, serve func(*Conn), crowded func()) *Server {
 	return &Server{
 		listener: l, limit: limit, serve: serve, crowded: crowded, empty: make(chan struct{}),
-		freed: make(chan struct{}, 1), leaving: make(chan struct{}),
+		freed: make(chan struct{}, 1), closing: make(chan struct{}),
 	}
 }
 
@@ -121,7 +121,7 @@
 }
 
 // admit counts a connection in, and returns once there is room for it. A server
-// that shuts does not wait for that: it takes some more, and closes the others.
+// that closes does not wait for that: it takes some more, and closes the others.
 func (s *Server) admit() bool {
 	s.mu.Lock()
 	s.open++
@@ -138,7 +138,7 @@
 		}
 		select {
 		case <-s.freed:
-		case <-s.leaving:
+		case <-s.closing:
 			if open > limit+shutExcess {
 				s.left()
 			}
@@ -172,12 +172,12 @@
 }
 
 // Shut stops accepting once all is taken in that had connected before, and
-// returns then. Open connections go on. Where others hold the socket too, Close
+// returns then, or when Close is called. Those that have connected wait for room
+// until then, as ever. Open connections go on. Where others hold the socket too, Close
 // leaves to them what waits there.
 func (s *Server) Shut() {
 	s.mu.Lock()
 	running := s.running
-	s.hurry()
 	s.mu.Unlock()
 	dropNewConnections(s.listener)
 	if running != nil && s.extend() {
@@ -186,7 +186,8 @@
 	s.Close()
 }
 
-// Close stops accepting at once. Open connections go on.
+// Close stops accepting at once: what has connected and waits for room is let in as far
+// as some more than the limit allow, and reset else. Open connections go on.
 func (s *Server) Close() {
 	s.listener.Close()
 	s.mu.Lock()
@@ -199,9 +200,9 @@
 // hurry ends the wait for room. The lock is held.
 func (s *Server) hurry() {
 	select {
-	case <-s.leaving:
+	case <-s.closing:
 	default:
-		close(s.leaving)
+		close(s.closing)
 	}
 }
 
