--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -5,12 +5,12 @@
 	"time"
 )
 
-// TestSoak plays a short soak. Longer ones, over many seeds, are for the command
+// playSoak plays a short soak. Longer ones, over many seeds, are for the command
 // fault-soak.
-func TestSoak(t *testing.T) {
-	result, err := Soak(t.Context(), SoakOptions{
-		Seed: 1, Nodes: 4, Duration: 8 * time.Second, Binary: binary, Dir: t.TempDir(),
-	})
+func playSoak(t *testing.T, opt SoakOptions) {
+	t.Helper()
+	opt.Nodes, opt.Duration, opt.Dir = 4, 8*time.Second, t.TempDir()
+	result, err := Soak(t.Context(), opt)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -26,3 +26,17 @@
 		t.Error(line)
 	}
 }
+
+// TestSoak has all faults but those of the system below.
+func TestSoak(t *testing.T) {
+	playSoak(t, SoakOptions{Seed: 1, Binary: binary})
+}
+
+// TestSoakWithSystemFaults has system calls fail and Unix time stepped beside.
+func TestSoakWithSystemFaults(t *testing.T) {
+	withFaults, err := BuildWithFaults(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	playSoak(t, SoakOptions{Seed: 2, Binary: withFaults, Faults: true})
+}
