Take errors that may pass and stepped clocks for what they are

Cause (the failing soak): a read or write that fails once with ETIMEDOUT, EHOSTUNREACH, ENETUNREACH, ENOBUFS or ENOMEM was taken for the end of a connection whose peer was well; the drain after a half-close ended with the first such error and reset the last answers; a request's field door was read against the present offset of Unix time only, so that one written before a step, or by a clock that was not stepped, was rejected or failed.

--- a/clock/clock.go
+++ b/clock/clock.go
@@ -8,9 +8,10 @@
 // clocks at that moment ([Clock.At]). What a step of Unix time does:
 //
 //   - to a request that is held: nothing, its times are on the timeline;
-//   - to a request whose sender wrote its arrival before the step, and that is read after
-//     it: the time is read against the offset before the step where it would be absurd
-//     against the present one, for a short while after the step;
+//   - to a time that a peer wrote as it sent ([Clock.Received]): it is read against the
+//     offset, of the last few, by which it was written least long ago. So it does not
+//     matter whether it was written before the step or after it, or by a clock that was
+//     not stepped;
 //   - to a key's window in memory: nothing;
 //   - to what another process tells in Unix time, or what was stored by one: it is read
 //     against the present offset. Where the step lies between the two, a window ends
@@ -18,15 +19,14 @@
 package clock
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
 
 const (
-	stepFrom       = 50 * time.Millisecond // a change of the offset from which on it is a step
-	stepRemembered = 5 * time.Second       // for which times may still be of before a step
-	absurdAge      = 30 * time.Second      // of a time that a peer writes as it sends
-	absurdLead     = time.Second           // likewise
+	stepFrom   = 50 * time.Millisecond // a change of the offset from which on it is a step
+	remembered = 4                     // offsets, the present one included
 )
 
 // Clock is a timeline. Its methods may be called from any goroutine.
@@ -34,16 +34,14 @@
 	origin time.Time     // with a monotonic reading
 	unix   time.Duration // Unix time at the origin
 
-	mu        sync.Mutex
-	offset    time.Duration // Unix time less the timeline's, as last seen
-	previous  time.Duration // before the last step
-	steppedAt time.Duration // 0 for never
+	mu      sync.Mutex
+	offsets []time.Duration // Unix time less the timeline's: the present one last
 }
 
 // New makes a clock whose timeline starts at the present Unix time.
 func New() *Clock {
 	now := time.Now()
-	return &Clock{origin: now, unix: time.Duration(now.UnixNano())}
+	return &Clock{origin: now, unix: time.Duration(now.UnixNano()), offsets: make([]time.Duration, 1, remembered)}
 }
 
 // Now is the present time on the timeline.
@@ -57,13 +55,21 @@
 	offset := time.Duration(now.UnixNano()) - timeline
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if step = offset - c.offset; step.Abs() < stepFrom {
+	if step = offset - c.offset(); step.Abs() < stepFrom {
 		return 0
 	}
-	c.previous, c.offset, c.steppedAt = c.offset, offset, timeline
+	// The present offset comes last, once.
+	c.offsets = slices.DeleteFunc(c.offsets, func(o time.Duration) bool { return (o - offset).Abs() < stepFrom })
+	if len(c.offsets) == remembered {
+		c.offsets = slices.Delete(c.offsets, 0, 1)
+	}
+	c.offsets = append(c.offsets, offset)
 	return step
 }
 
+// offset is the present one. The lock is held.
+func (c *Clock) offset() time.Duration { return c.offsets[len(c.offsets)-1] }
+
 // At turns a time into one on the timeline: exactly for a time with a monotonic reading,
 // else against the present offset of Unix time.
 func (c *Clock) At(t time.Time) time.Duration {
@@ -73,27 +79,26 @@
 	c.Observe()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Duration(t.UnixNano()) - c.offset
+	return time.Duration(t.UnixNano()) - c.offset()
 }
 
-// Received turns the time that a peer wrote as it sent into one on the timeline. Where
-// that makes no sense and Unix time was stepped a short while ago, the time is taken
-// for one of before the step.
+// Received turns the time that a peer wrote as it sent into one on the timeline: of the
+// last offsets, by the one that has it written least long ago.
 func (c *Clock) Received(t time.Time) time.Duration {
-	at, now := c.At(t), c.Now()
+	best, now := c.At(t), c.Now()
+	if hasMonotonic(t) {
+		return best
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if plausible(at, now) || c.steppedAt == 0 || now-c.steppedAt > stepRemembered {
-		return at
-	}
-	if before := time.Duration(t.UnixNano()) - c.previous; plausible(before, now) {
-		return before
+	for _, offset := range c.offsets {
+		if at := time.Duration(t.UnixNano()) - offset; (now - at).Abs() < (now - best).Abs() {
+			best = at
+		}
 	}
-	return at
+	return best
 }
 
-func plausible(at, now time.Duration) bool { return at > now-absurdAge && at < now+absurdLead }
-
 // hasMonotonic tells whether a time was read from this machine's clocks.
 func hasMonotonic(t time.Time) bool { return t != t.Round(0) }
 
@@ -107,5 +112,5 @@
 	c.Observe()
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return time.Unix(0, int64(at+c.offset))
+	return time.Unix(0, int64(at+c.offset()))
 }
--- a/clock/clock_test.go
+++ b/clock/clock_test.go
@@ -38,7 +38,7 @@
 			t.Errorf("%v: a peer's time after the step is off by %v", by, at-now)
 		}
 		before := time.Now().Round(0).Add(-by) // written just before the step
-		if at := c.Received(before); by.Abs() > absurdAge && !near(at, now) {
+		if at := c.Received(before); !near(at, now) {
 			t.Errorf("%v: a peer's time before the step is off by %v", by, at-now)
 		}
 	}
@@ -52,12 +52,26 @@
 	}
 }
 
-func TestReceived_LongAfterAStep(t *testing.T) {
-	c := stepped(time.Hour)
+// TestReceived_OffsetsAreForgotten: after a few steps an old offset counts no more, and
+// one that comes back is known once.
+func TestReceived_OffsetsAreForgotten(t *testing.T) {
+	c := New()
+	for step := range 2 * remembered {
+		c.unix -= time.Duration(step+1) * time.Minute
+		c.Observe()
+	}
+	if len(c.offsets) != remembered {
+		t.Errorf("%d offsets are remembered, want %d", len(c.offsets), remembered)
+	}
+	c.unix += 2 * remembered * time.Minute
+	c.Observe()
+	c.unix -= 2 * remembered * time.Minute
 	c.Observe()
-	c.steppedAt -= stepRemembered + time.Second
-	old := time.Now().Round(0).Add(-time.Hour)
-	if at := c.Received(old); !near(c.Now()-at, time.Hour) {
-		t.Errorf("a time of an hour ago is %v old", c.Now()-at)
+	if len(c.offsets) != remembered {
+		t.Errorf("%d offsets are remembered, want %d", len(c.offsets), remembered)
+	}
+	old := time.Now().Round(0).Add(-10 * time.Hour)
+	if at := c.Received(old); c.Now()-at < 9*time.Hour {
+		t.Errorf("a time of ten hours ago is %v old", c.Now()-at)
 	}
 }
--- a/transport/serve.go
+++ b/transport/serve.go
@@ -40,7 +40,7 @@
 		case err == nil:
 			c.taken()
 		case errors.Is(err, os.ErrDeadlineExceeded):
-			c.examined = nowait
+			c.examined = nowait && !c.src.failed()
 			if reason := c.decide(); reason != "" {
 				return c.halfClose(reason, endError(reason))
 			}
@@ -226,14 +226,26 @@
 		c.mu.Unlock()
 		return why
 	}
-	c.nc.SetReadDeadline(time.Now().Add(c.drainPeriod))
+	until := time.Now().Add(c.drainPeriod)
+	c.nc.SetReadDeadline(until)
 	c.mu.Unlock()
 	if half, ok := c.nc.(interface{ CloseWrite() error }); ok && half.CloseWrite() == nil {
-		c.end.Discarded, _ = io.Copy(io.Discard, c.src)
+		c.discardUntil(until)
 	}
 	return why
 }
 
+// discardUntil reads and drops what comes until the peer's end, or a time.
+func (c *Conn) discardUntil(until time.Time) {
+	for {
+		n, err := io.Copy(io.Discard, c.src)
+		c.end.Discarded += n
+		if !errors.Is(err, os.ErrDeadlineExceeded) || !time.Now().Before(until) {
+			return
+		}
+	}
+}
+
 func (c *Conn) close() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/transport/source.go
+++ b/transport/source.go
@@ -9,14 +9,12 @@
 	"time"
 )
 
-// temporaryPause is how long a read or write rests after an error that passes.
-const temporaryPause = time.Millisecond
-
 // source is where a connection's bytes come from. It belongs to its goroutine.
 type source struct {
 	nc     net.Conn
 	nowait bool  // only what has come is read
 	err    error // by which the stream ended
+	passed int   // errors in a row that may pass
 
 	partial func() bool // a part of a message was read before
 	byteAt  time.Time   // when bytes last came; zero for never
@@ -26,8 +24,8 @@
 }
 
 // Read implements io.Reader. Without waiting, a read that finds nothing fails with
-// os.ErrDeadlineExceeded, as an interrupted one does, and as one does whose error
-// passes by itself.
+// os.ErrDeadlineExceeded, as an interrupted one does, and as one does whose error may
+// pass; failed tells the latter.
 func (s *source) Read(p []byte) (n int, err error) {
 	part := s.partial()
 	if s.nowait {
@@ -45,21 +43,21 @@
 		s.readAt = time.Now()
 		s.byteAt = s.readAt
 	}
-	if temporary(err) {
-		time.Sleep(temporaryPause)
+	if mayPass(err) && s.passed < maxPassing {
+		s.passed++
+		time.Sleep(passingPause)
 		return n, os.ErrDeadlineExceeded
 	}
+	s.passed = 0
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		s.err = err
 	}
 	return n, err
 }
 
-// temporary reports whether an error of a read or write says nothing of the
-// connection: the system was short of memory for a moment, or was interrupted.
-func temporary(err error) bool {
-	return errors.Is(err, syscall.ENOBUFS) || errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.EINTR)
-}
+// failed tells whether the last read failed with an error that may pass: it says nothing
+// of what has come.
+func (s *source) failed() bool { return s.passed > 0 }
 
 // readNow reads what has come on a socket whatever its deadline; a connection that
 // is no socket has none.
--- a/transport/write.go
+++ b/transport/write.go
@@ -41,22 +41,22 @@
 // write writes all of p. What the system refuses for a moment is tried again, from
 // the byte on that was not written.
 func (c *Conn) write(p []byte) error {
-	for failed := 0; len(p) > 0; {
+	for attempts, passed := 0, 0; len(p) > 0; {
 		c.nc.SetWriteDeadline(time.Now().Add(writeAttempt))
 		n, err := c.nc.Write(p)
 		p = p[n:]
 		if n > 0 {
-			failed = 0
+			attempts, passed = 0, 0
 		}
 		switch {
 		case err == nil:
-		case errors.Is(err, os.ErrDeadlineExceeded), temporary(err):
-			if failed++; failed >= writeAttempts {
+		case errors.Is(err, os.ErrDeadlineExceeded):
+			if attempts++; attempts == writeAttempts {
 				return err
 			}
-			if temporary(err) {
-				time.Sleep(temporaryPause)
-			}
+		case mayPass(err) && passed < maxPassing:
+			passed++
+			time.Sleep(passingPause)
 		default:
 			return err
 		}
