Have processes of the soak take over from each other on an inherited socket

Change: every second node of a soak holds its listening socket; its upgrades start a new process beside the old one, with a processor and addresses of its own, and stop the old one once the new one is ready.

--- a/internal/faultsoak/faultbuild.go
+++ b/internal/faultsoak/faultbuild.go
@@ -143,10 +143,10 @@
 }
 
 // SetFaults tells the process what to suffer from now on. It must be of a build with
-// faults, started with FaultsAddress.
+// faults, at work now.
 func (n *Node) SetFaults(plan FaultPlan) error {
 	dialer := net.Dialer{Timeout: controlTimeout}
-	conn, err := dialer.DialContext(context.Background(), "tcp", n.FaultsAddress)
+	conn, err := dialer.DialContext(context.Background(), "tcp", n.FaultsAddress())
 	if err != nil {
 		return fmt.Errorf("faultsoak: %w", err)
 	}
--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -50,7 +51,7 @@
 // again, with pauses between least and most.
 var faultLoops = []faultLoop{
 	{300 * time.Millisecond, 4 * time.Second, []fault{shortPause, shortPause, longPause}},
-	{4 * time.Second, 12 * time.Second, []fault{restart, restart, crash}},
+	{4 * time.Second, 12 * time.Second, []fault{restart, upgrade, upgrade, crash}},
 	{500 * time.Millisecond, 4 * time.Second, []fault{processorResets, processorSilent, processorRefuses}},
 	{time.Second, 5 * time.Second, []fault{ledgerResets, ledgerSilent, ledgerRefuses}},
 	{time.Second, 5 * time.Second, []fault{announceResets, announceSilent, announceRefuses}},
@@ -100,12 +101,12 @@
 	if !ends.IsZero() && time.Until(ends) < d+lastMoments {
 		return
 	}
-	at := time.Now()
-	if o.node.Signal(syscall.SIGSTOP) != nil {
+	at, process := time.Now(), o.node.process()
+	if process.signal(syscall.SIGSTOP) != nil {
 		return // it has ended
 	}
 	time.Sleep(d)
-	_ = o.node.Signal(syscall.SIGCONT) // it may have been killed
+	_ = process.signal(syscall.SIGCONT) // it may have been killed
 	o.history.Add(Event{Node: o.node.Name, Kind: Paused, At: at, Till: time.Now()})
 }
 
@@ -120,20 +121,40 @@
 	notice := time.Now()
 	o.expect(true, notice.Add(LongestStop))
 	o.history.Add(Event{Node: o.node.Name, Kind: Terminated, At: notice})
-	if err := o.node.Signal(syscall.SIGTERM); err != nil {
+	byItself, err := o.node.process().stop()
+	switch {
+	case err != nil:
 		o.fail("%v", err)
 		return
-	}
-	select {
-	case <-o.node.Exited():
+	case byItself:
 		o.record(Exited)
-	case <-time.After(time.Until(notice.Add(LongestStop))):
+	default:
 		o.record(Killed)
-		o.node.Kill()
 	}
 	o.launch()
 }
 
+// upgrade has a new process take over. A node whose processes inherit no socket is
+// restarted.
+func upgrade(ctx context.Context, o *operator, rng *rand.Rand) {
+	if !o.node.Inherit {
+		restart(ctx, o, rng)
+		return
+	}
+	o.configuring.Lock()
+	defer o.configuring.Unlock()
+	// The old process may be killed as long after this as the new one takes to get ready.
+	o.expect(true, time.Now().Add(LongestStop))
+	o.record(Upgraded)
+	switch err := o.node.Upgrade(); {
+	case errors.Is(err, ErrNotReady):
+		o.record(Crashed) // the new one, which was ended
+	case err != nil:
+		o.fail("%v", err)
+	}
+	o.expect(false, time.Time{})
+}
+
 // crash kills the process without notice and starts another.
 func crash(_ context.Context, o *operator, _ *rand.Rand) {
 	o.expect(true, time.Time{})
@@ -156,7 +177,8 @@
 // watch reports a process that ends though nobody ended it.
 func (o *operator) watch(ctx context.Context) {
 	for {
-		exited := o.node.Exited()
+		process := o.node.process()
+		exited := process.done()
 		select {
 		case <-ctx.Done():
 			return
@@ -165,7 +187,8 @@
 		o.mu.Lock()
 		expected := o.expected
 		o.mu.Unlock()
-		if !expected && ctx.Err() == nil {
+		replaced := process != o.node.process() || exited != process.done()
+		if !expected && !replaced && ctx.Err() == nil {
 			o.fail("%s ended by itself: %v", o.node.Name, o.node.Ended())
 			return
 		}
@@ -201,15 +224,15 @@
 }
 
 func processorResets(ctx context.Context, o *operator, rng *rand.Rand) {
-	o.resets(ctx, o.node.ProcessorRelay, ProcessorBad, rng)
+	o.resets(ctx, o.node.ProcessorRelay(), ProcessorBad, rng)
 }
 
 func processorSilent(ctx context.Context, o *operator, rng *rand.Rand) {
-	o.disturb(ctx, o.node.ProcessorRelay, ProcessorBad, Silent, outage(rng))
+	o.disturb(ctx, o.node.ProcessorRelay(), ProcessorBad, Silent, outage(rng))
 }
 
 func processorRefuses(ctx context.Context, o *operator, rng *rand.Rand) {
-	o.disturb(ctx, o.node.ProcessorRelay, ProcessorBad, Refuse, outage(rng))
+	o.disturb(ctx, o.node.ProcessorRelay(), ProcessorBad, Refuse, outage(rng))
 }
 
 func ledgerResets(ctx context.Context, o *operator, rng *rand.Rand) {
@@ -274,19 +297,20 @@
 
 // sendAway has callers sent away and fetched back.
 func sendAway(ctx context.Context, o *operator, rng *rand.Rand) {
-	if o.call("drain-on") {
+	if callOperators(o.node.Control(), "drain-on") {
 		o.record(SentAway)
 	}
 	pause(ctx, between(rng, 200*time.Millisecond, 5*time.Second))
-	if o.call("drain-off") {
+	if callOperators(o.node.Control(), "drain-off") {
 		o.record(FetchedBack)
 	}
 }
 
-// call makes one operators' call. A node that stands still or is down answers none.
-func (o *operator) call(line string) bool {
+// callOperators makes one operators' call. A process that stands still or is down
+// answers none.
+func callOperators(address, line string) bool {
 	dialer := net.Dialer{Timeout: controlTimeout}
-	conn, err := dialer.DialContext(context.Background(), "tcp", o.node.Control)
+	conn, err := dialer.DialContext(context.Background(), "tcp", address)
 	if err != nil {
 		return false
 	}
--- a/internal/faultsoak/history.go
+++ b/internal/faultsoak/history.go
@@ -73,6 +73,7 @@
 	Crashed      EventKind = "crashed"      // SIGKILL without notice
 	Exited       EventKind = "exited"       // the process ended by itself
 	Restarted    EventKind = "restarted"    // it listens again
+	Upgraded     EventKind = "upgraded"     // a new process is started beside, the old one is stopped
 	SentAway     EventKind = "sent_away"    // drain-on was answered
 	FetchedBack  EventKind = "fetched_back" // drain-off was answered
 	ProcessorBad EventKind = "processor"
--- a/internal/faultsoak/node.go
+++ b/internal/faultsoak/node.go
@@ -1,16 +1,10 @@
 package faultsoak
 
 import (
-	"bufio"
-	"context"
-	"encoding/json"
 	"errors"
 	"fmt"
-	"maps"
+	"net"
 	"os"
-	"os/exec"
-	"path/filepath"
-	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -18,22 +12,28 @@
 	"quincerail.example/quincerail/internal/standin"
 )
 
-// startTimeout bounds the wait for a process to say that it listens.
-const startTimeout = 20 * time.Second
+const (
+	readyTimeout = 6 * time.Second // for the process that takes over to be ready
+	readyEvery   = 30 * time.Millisecond
+)
 
-// ErrNotStarted is given for a process that ended before it listened.
-var ErrNotStarted = errors.New("faultsoak: the process ended before it listened")
+// Errors of nodes.
+var (
+	ErrNotStarted = errors.New("faultsoak: the process ended before it listened")
+	ErrNotReady   = errors.New("faultsoak: the process that takes over is not ready")
+)
 
 // NodeConfig is what a node is made of.
 type NodeConfig struct {
-	Name   string
-	Binary string         // path of the program
-	Dir    string         // where its configuration is written
-	Config map[string]any // the platform's configuration; addresses are filled in
-	Took   time.Duration  // of a run, for bodies that name no other
-	Env    []string       // of the process, beside the test's own
-	Args   []string
-	Faults bool // Binary is of a build with faults
+	Name    string
+	Binary  string         // path of the program
+	Dir     string         // where its configuration is written
+	Config  map[string]any // the platform's configuration; addresses are filled in
+	Took    time.Duration  // of a run, for bodies that name no other
+	Env     []string       // of the process, beside the test's own
+	Args    []string
+	Faults  bool // Binary is of a build with faults
+	Inherit bool // its processes inherit the listening socket, and take over from each other
 }
 
 // Run is a run that the processor began.
@@ -43,77 +43,65 @@
 	At   time.Time
 }
 
-// Node is one process of the program among fakes. A process that has ended may be
-// started again, with the same address.
+// Node is one app server among fakes: a process of the program, or two while one takes
+// over. A process that has ended may be started again, with the same address.
 type Node struct {
 	NodeConfig
 
-	Address, Control string
-	FaultsAddress    string // of the fault layer; "" without one
-	Work             *standin.Work
-	Processor        *standin.Processor
-	Ledger           *standin.Ledger
-	Announce         *standin.Announce
-	// Relays stand between the process and the fakes.
-	ProcessorRelay, LedgerRelay, AnnounceRelay *Relay
-
-	config string // path of the configuration
-
-	mu     sync.Mutex
-	runs   []Run
-	log    []string
-	cmd    *exec.Cmd
-	exited chan struct{}
-	ended  error // how the last process ended
+	Address  string
+	Work     *standin.Work
+	Ledger   *standin.Ledger
+	Announce *standin.Announce
+	// Relays stand between the processes and the fakes.
+	LedgerRelay, AnnounceRelay *Relay
+
+	listener  net.Listener // that processes inherit; nil else
+	socket    *os.File
+	processes int // made so far
+
+	mu      sync.Mutex
+	current *process
+	runs    []Run
+	log     []string
 }
 
 // StartNode starts the fakes and the process.
 func StartNode(config NodeConfig) (*Node, error) {
 	n := &Node{NodeConfig: config, Work: standin.NewWork(config.Took)}
-	if err := n.startFakes(); err != nil {
+	if err := n.start(); err != nil {
 		n.Close()
 		return nil, err
 	}
-	addresses := []*string{&n.Address, &n.Control}
-	if config.Faults {
-		addresses = append(addresses, &n.FaultsAddress)
+	return n, nil
+}
+
+func (n *Node) start() error {
+	if err := n.startFakes(); err != nil {
+		return err
 	}
-	for _, address := range addresses {
-		listener, err := listenAnywhere()
-		if err != nil {
-			n.Close()
-			return nil, err
-		}
-		*address = listener.Addr().String()
-		_ = listener.Close() // the process takes the port
+	if err := n.listen(); err != nil {
+		return err
 	}
 	go n.recordRuns()
-	n.config = filepath.Join(config.Dir, config.Name+".json")
-	if err := n.WriteConfig(nil); err != nil {
-		n.Close()
-		return nil, err
+	first, err := n.newProcess()
+	if err != nil {
+		return err
 	}
-	if err := n.Launch(); err != nil {
-		n.Close()
-		return nil, err
+	n.current = first
+	if err := first.writeConfig(nil); err != nil {
+		return err
 	}
-	return n, nil
+	return n.Launch()
 }
 
 func (n *Node) startFakes() (err error) {
 	const anyPort = "127.0.0.1:0"
-	if n.Processor, err = standin.NewProcessor(anyPort, n.Work); err != nil {
-		return err
-	}
 	if n.Ledger, err = standin.NewLedger(anyPort); err != nil {
 		return err
 	}
 	if n.Announce, err = standin.NewAnnounce(anyPort); err != nil {
 		return err
 	}
-	if n.ProcessorRelay, err = NewRelay(n.Processor.Addr()); err != nil {
-		return err
-	}
 	if n.LedgerRelay, err = NewRelay(n.Ledger.Addr()); err != nil {
 		return err
 	}
@@ -121,6 +109,26 @@
 	return err
 }
 
+// listen finds the node's address, and opens the socket that its processes inherit.
+func (n *Node) listen() (err error) {
+	if !n.Inherit {
+		n.Address, err = freeAddress()
+		return err
+	}
+	if n.listener, err = listenAnywhere(); err != nil {
+		return err
+	}
+	n.Address = n.listener.Addr().String()
+	tcp, ok := n.listener.(*net.TCPListener)
+	if !ok {
+		return fmt.Errorf("faultsoak: a listener of type %T", n.listener)
+	}
+	if n.socket, err = tcp.File(); err != nil {
+		return fmt.Errorf("faultsoak: %w", err)
+	}
+	return nil
+}
+
 // recordRuns keeps what the processor begins, and drains what the fakes tell.
 func (n *Node) recordRuns() {
 	for {
@@ -144,130 +152,134 @@
 	return append([]Run(nil), n.runs...)
 }
 
-// Log gives the lines that the process logged so far.
+// Log gives the lines that the processes logged so far.
 func (n *Node) Log() []string {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	return append([]string(nil), n.log...)
 }
 
-// WriteConfig writes the configuration file with changes of its top level. The
-// process takes it over at SIGHUP.
-func (n *Node) WriteConfig(changes map[string]any) error {
-	config := maps.Clone(n.Config)
-	config["name"], config["listen"], config["control"] = n.Name, n.Address, n.Control
-	config["processor"] = n.ProcessorRelay.Addr()
-	config["ledger"], config["announce"] = n.LedgerRelay.Addr(), n.AnnounceRelay.Addr()
-	maps.Copy(config, changes)
-	text, err := json.Marshal(config)
-	if err != nil {
-		return fmt.Errorf("faultsoak: %w", err)
-	}
-	return n.WriteConfigText(string(text))
+func (n *Node) logged(line string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.log = append(n.log, line)
 }
 
-// WriteConfigText replaces the configuration file whole.
-func (n *Node) WriteConfigText(text string) error {
-	next := n.config + ".next"
-	if err := os.WriteFile(next, []byte(text), 0o600); err != nil {
-		return fmt.Errorf("faultsoak: %w", err)
-	}
-	if err := os.Rename(next, n.config); err != nil {
-		return fmt.Errorf("faultsoak: %w", err)
+func (n *Node) lastLogged() string {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if len(n.log) == 0 {
+		return ""
 	}
-	return nil
+	return n.log[len(n.log)-1]
 }
 
-// Launch starts the process, anew after it has ended, and returns once it listens.
-func (n *Node) Launch() error {
-	cmd := exec.CommandContext(context.Background(), n.Binary, n.Args...)
-	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+n.config, "QUINCERAIL_FAULTS="+n.FaultsAddress), n.Env...)
-	stderr, err := cmd.StderrPipe()
-	if err != nil {
-		return fmt.Errorf("faultsoak: %w", err)
-	}
-	if err := cmd.Start(); err != nil {
-		return fmt.Errorf("faultsoak: %w", err)
-	}
-	listening, exited := make(chan struct{}), make(chan struct{})
+// process is the one at work, the newer one while another takes over.
+func (n *Node) process() *process {
 	n.mu.Lock()
-	n.cmd, n.exited = cmd, exited
-	n.mu.Unlock()
-	go func() {
-		defer close(exited)
-		told := false
-		for s := bufio.NewScanner(stderr); s.Scan(); {
-			n.mu.Lock()
-			n.log = append(n.log, s.Text())
-			n.mu.Unlock()
-			if !told && strings.Contains(s.Text(), "event=listening") {
-				told = true
-				close(listening)
-			}
-		}
-		err := cmd.Wait()
-		n.mu.Lock()
-		n.ended = err
-		n.mu.Unlock()
-	}()
-	select {
-	case <-listening:
-		return nil
-	case <-exited:
-		return fmt.Errorf("%w: %s: %v", ErrNotStarted, n.Name, n.Log())
-	case <-time.After(startTimeout):
-		return fmt.Errorf("%w in %v: %s", ErrNotStarted, startTimeout, n.Name)
-	}
+	defer n.mu.Unlock()
+	return n.current
 }
 
+// Ready waits until the processor is asked for its gauges: requests are run.
+func (n *Node) Ready() { <-n.process().processor.Up() }
+
+// ProcessorRelay is the relay of the process at work.
+func (n *Node) ProcessorRelay() *Relay { return n.process().relay }
+
+// Control is where operators call the process at work.
+func (n *Node) Control() string { return n.process().control }
+
+// FaultsAddress is where the fault layer of the process at work listens.
+func (n *Node) FaultsAddress() string { return n.process().faults }
+
+// WriteConfig writes the configuration file with changes of its top level. The
+// process takes it over at SIGHUP.
+func (n *Node) WriteConfig(changes map[string]any) error { return n.process().writeConfig(changes) }
+
+// WriteConfigText replaces the configuration file whole.
+func (n *Node) WriteConfigText(text string) error { return n.process().writeConfigText(text) }
+
+// Launch starts the process, anew after it has ended, and returns once it listens.
+func (n *Node) Launch() error { return n.process().launch() }
+
 // Signal sends a signal to the process. One that has ended takes none.
-func (n *Node) Signal(s syscall.Signal) error {
-	n.mu.Lock()
-	cmd := n.cmd
-	n.mu.Unlock()
-	if err := cmd.Process.Signal(s); err != nil {
-		return fmt.Errorf("faultsoak: %s: %w", n.Name, err)
-	}
-	return nil
-}
+func (n *Node) Signal(s syscall.Signal) error { return n.process().signal(s) }
 
 // Exited is closed when the present process has ended.
-func (n *Node) Exited() <-chan struct{} {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.exited
-}
+func (n *Node) Exited() <-chan struct{} { return n.process().done() }
 
 // Ended gives how the last process ended: nil for exit code 0.
 func (n *Node) Ended() error {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return n.ended
+	p := n.process()
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.ended
 }
 
 // Kill ends the process at once, and waits for that.
-func (n *Node) Kill() {
-	_ = n.Signal(syscall.SIGKILL) // it may have ended already
-	<-n.Exited()
+func (n *Node) Kill() { n.process().kill() }
+
+// Upgrade has a new process take over from the one at work, as the platform does: the
+// old one is told to stop once the new one is ready. It returns when the old one has
+// ended. Where the new one does not get ready in time, it is ended, and ErrNotReady
+// returned.
+func (n *Node) Upgrade() error {
+	old := n.process()
+	next, err := n.newProcess()
+	if err != nil {
+		return err
+	}
+	if err := next.writeConfig(nil); err != nil {
+		next.closeFakes()
+		return err
+	}
+	if err := next.launch(); err != nil || !next.awaitReady() {
+		next.kill()
+		next.closeFakes()
+		return errors.Join(ErrNotReady, err)
+	}
+	n.mu.Lock()
+	n.current = next
+	n.mu.Unlock()
+	_, err = old.stop()
+	old.closeFakes()
+	return err
+}
+
+// awaitReady waits until the process says that it can serve.
+func (p *process) awaitReady() bool {
+	for end := time.Now().Add(readyTimeout); time.Now().Before(end); time.Sleep(readyEvery) {
+		if callOperators(p.control, "check") {
+			return true
+		}
+	}
+	return false
 }
 
 // Close ends the process and the fakes.
 func (n *Node) Close() {
-	if n.cmd != nil {
-		n.Kill()
+	if p := n.process(); p != nil {
+		if p.done() != nil {
+			p.kill()
+		}
+		p.closeFakes()
 	}
-	for _, relay := range []*Relay{n.ProcessorRelay, n.LedgerRelay, n.AnnounceRelay} {
+	for _, relay := range []*Relay{n.LedgerRelay, n.AnnounceRelay} {
 		if relay != nil {
 			relay.Close()
 		}
 	}
-	if n.Processor != nil {
-		n.Processor.Close()
-	}
 	if n.Ledger != nil {
 		n.Ledger.Close()
 	}
 	if n.Announce != nil {
 		n.Announce.Close()
 	}
+	if n.socket != nil {
+		_ = n.socket.Close()
+	}
+	if n.listener != nil {
+		_ = n.listener.Close()
+	}
 }
--- a/internal/faultsoak/reproduction_test.go
+++ b/internal/faultsoak/reproduction_test.go
@@ -34,7 +34,7 @@
 		t.Fatal(err)
 	}
 	t.Cleanup(n.Close)
-	<-n.Processor.Up()
+	n.Ready()
 	return &bench{T: t, node: n}
 }
 
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -114,13 +114,13 @@
 		}
 		n, err := StartNode(NodeConfig{
 			Name: name, Binary: s.opt.Binary, Dir: dir, Config: config, Took: 5 * time.Millisecond, Env: s.opt.Env,
-			Faults: s.opt.Faults,
+			Faults: s.opt.Faults, Inherit: i%2 == 1,
 		})
 		if err != nil {
 			return nodes, err
 		}
 		nodes = append(nodes, n)
-		<-n.Processor.Up()
+		n.Ready()
 	}
 	return nodes, nil
 }
