Fail unknown keys for a window after a take-over that learnt none

Cause (the failing test): Server.takeOver served with an empty table of keys where the process before did not tell its own within 5 s, as one that stands still can't. Change: the core is told to doubt keys that it does not know until that process must have ended and a window has passed (Core.Doubt): their tries fail, and never run. The end of a drain's grace is kept from the notice on; other settings may end it sooner, not later.

--- a/program/handover.go
+++ b/program/handover.go
@@ -71,9 +71,13 @@
 	return &peer{conn: transport.NewConn(nc), met: make(chan struct{}), ended: make(chan struct{})}
 }
 
+// errKeysUnknown is for a process whose predecessor is there, but did not tell its keys.
+var errKeysUnknown = errors.New("the process before did not tell its keys in time")
+
 // meet looks for a process to take over from, nil if there is none, and waits
-// until all of its keys are known.
-func (h *handoverDoor) meet(ctx context.Context) *peer {
+// until all of its keys are known. Where there is one that does not tell them in time,
+// the error is errKeysUnknown.
+func (h *handoverDoor) meet(ctx context.Context) (*peer, error) {
 	ctx, cancel := context.WithTimeout(ctx, meetWithin)
 	defer cancel()
 	for tried := false; ctx.Err() == nil; tried = true {
@@ -85,22 +89,22 @@
 			go h.serve(p, true)
 			select {
 			case <-p.met:
-				return p
+				return p, nil
 			case <-p.ended: // it hands over to another, or ends
 			case <-ctx.Done():
 				p.conn.Abort()
 				<-p.ended
 			}
 		} else if !tried {
-			return nil
+			return nil, nil
 		}
 		select {
 		case <-ctx.Done():
 		case <-time.After(meetAgain):
 		}
 	}
-	h.log.Warn("handover_failed", "error", "the process before did not tell its keys in time")
-	return nil
+	h.log.Warn("handover_failed", "error", errKeysUnknown.Error())
+	return nil, errKeysUnknown
 }
 
 // open has the next process find this one.
--- a/program/handover_refused_test.go
+++ b/program/handover_refused_test.go
@@ -32,7 +32,7 @@
 	door.listen = func(string, string) (net.Listener, error) { return nil, refused("listen") }
 	ctx, cancel := context.WithCancel(context.Background())
 	defer cancel()
-	if elder := door.meet(ctx); elder != nil || dials != 1 {
+	if elder, err := door.meet(ctx); elder != nil || err != nil || dials != 1 {
 		t.Errorf("meet: %v after %d dials, want none after one", elder, dials)
 	}
 	if _, err := door.open(); !errors.Is(err, syscall.ENOSYS) {
--- a/program/program.go
+++ b/program/program.go
@@ -283,8 +283,14 @@
 
 // takeOver lets callers in once the keys are known of the process that serves on
 // the same socket, if there is one. When that has ended, the next may find this one.
+// Where that process does not tell its keys, any key that is not known here may have run
+// there, and may run there as long as it lives: such keys fail for a window.
 func (s *Server) takeOver(ctx context.Context, c *Config) {
-	if elder := s.handover.meet(ctx); elder != nil { // its connections count with those here
+	elder, err := s.handover.meet(ctx)
+	if err != nil && s.core.Doubt(time.Now().Add(c.stopAfter()+longestWindow(c.Settings))) != nil {
+		return // it has stopped
+	}
+	if elder != nil { // its connections count with those here
 		s.doors[0].server.SetLimit(int(float64(c.Sockets) * besideShare))
 		s.open(ctx, c)
 		<-elder.ended
--- a/routing/core.go
+++ b/routing/core.go
@@ -119,6 +119,7 @@
 	settled   chan struct{}           // closed once nothing is open; nil where nobody waits for that
 	draining  bool
 	noticeAt  time.Duration // when the notice to leave came at the earliest
+	graceEnd  time.Duration // of the drain
 	stopAt    time.Duration
 	pools     *limits.Pools // nil where runs are bound by the module alone
 	log       *slog.Logger
@@ -286,6 +287,13 @@
 	})
 }
 
+// Doubt has the core take keys that it does not know for ones that may have run, until
+// a time: tries of them fail, and are never run. It is for a process that could not learn
+// what another one ran.
+func (c *Core) Doubt(until time.Time) error {
+	return c.post(func() { c.inDoubtUntil = max(c.inDoubtUntil, c.clock.At(until)) })
+}
+
 // wake arranges the module's timer; it comes with the gauges of the moment, or
 // with the last ones if the machine is slow to tell.
 func (c *Core) wake(after time.Duration, token int64) {
@@ -343,6 +351,7 @@
 			return
 		}
 		c.draining, c.noticeAt, c.stopAt = true, c.clock.At(notice), c.clock.At(stopAt.Add(-stopMargin))
+		c.graceEnd = c.noticeAt + c.set.DrainGrace
 		if c.module == nil {
 			c.setHealth(false, true)
 			return
--- a/routing/rules.go
+++ b/routing/rules.go
@@ -15,21 +15,18 @@
 	return guard.Start{
 		Answered: a.answered, Running: a.begun, Resumed: a.paused,
 		KeyRan: a.entry != nil && a.entry.ranFor(a.door),
-		ReadBy: a.readBy, Draining: c.draining, GraceEnd: c.graceEnd(),
+		ReadBy: a.readBy, Draining: c.draining, GraceEnd: c.graceEnd,
 	}
 }
 
-// graceEnd is when the grace of the drain ends.
-func (c *Core) graceEnd() time.Duration { return c.noticeAt + c.set.DrainGrace }
-
 // checkStart counts a run that begins against the rules.
 func (c *Core) checkStart(a *attempt) {
 	switch {
 	case a.resuming:
 	case a.entry != nil && a.entry.ran != a.ID, a.ran && a.kind.Effect != decision.Safe:
 		c.opt.Monitor.Violated(guard.DuplicateRun, "request", a.ID, "key", a.Key)
-	case c.draining && a.readBy > c.graceEnd():
-		c.opt.Monitor.Violated(guard.DrainStart, "request", a.ID, "read_after_grace", (a.readBy - c.graceEnd()).String())
+	case c.draining && a.readBy > c.graceEnd:
+		c.opt.Monitor.Violated(guard.DrainStart, "request", a.ID, "read_after_grace", (a.readBy - c.graceEnd).String())
 	}
 	a.resuming, a.ran = false, true
 }
--- a/routing/tuning.go
+++ b/routing/tuning.go
@@ -110,6 +110,9 @@
 	if s.Say != c.set.Say { // what was said has another meaning, or none
 		c.said.Store(nil)
 	}
+	if c.draining { // other settings may end the grace sooner, not later
+		c.graceEnd = min(c.graceEnd, c.noticeAt+s.DrainGrace)
+	}
 	follows := s.Readiness != c.set.Readiness
 	c.set = s
 	for _, class := range s.Classes {
