--- a/cmd/fault-soak/main.go
+++ b/cmd/fault-soak/main.go
@@ -87,8 +87,8 @@
 
 // printResult prints what one seed found.
 func printResult(seed uint64, r faultsoak.SoakResult) {
-	fmt.Printf("seed %d: %d requests, outcomes %v, crossed %d, excused %d, events %v\n",
-		seed, r.Requests, r.Outcomes, r.Crossed, r.Excused, r.Events)
+	fmt.Printf("seed %d: %d requests, outcomes %v, late %d, crossed %d, excused %d, events %v\n",
+		seed, r.Requests, r.Outcomes, len(r.Late), r.Crossed, r.Excused, r.Events)
 	for _, v := range r.Violations {
 		fmt.Println("  broken:", v)
 	}
