Count requests that are open as the process ends

Cause: the rule on stopping nodes had no check at run time. Change: requests that have no answer when a drain ends are counted and logged as a violation.

--- a/internal/faultsoak/oracle.go
+++ b/internal/faultsoak/oracle.go
@@ -17,8 +17,8 @@
 
 // Slacks of the platform's rules, and of a busy test machine.
 const (
-	socketSlack   = 50 * time.Millisecond  // on every time limit, and for a request that crosses a close
-	machineSlack  = 300 * time.Millisecond // clients and fakes of a test share its machine
+	socketSlack  = 50 * time.Millisecond  // on every time limit, and for a request that crosses a close
+	machineSlack = 300 * time.Millisecond // clients and fakes of a test share its machine
 	// maxLateShare of the requests may have no final answer in their time.
 	maxLateShare = 3.0 / 1000
 )
--- a/program/program.go
+++ b/program/program.go
@@ -79,6 +79,7 @@
 	rules       *match.Rules      // the operator's rules, that the fronts ask first
 	keys        *journal.Journal  // where the keys that ran outlive the process; nil where they don't
 	log         *slog.Logger
+	monitor     *guard.Monitor // of the platform's rules
 	metricsAddr net.Addr
 	operators   []*http.Server  // the operator's own listeners
 	fleet       *fleet.Fleet    // nil where there is none
@@ -184,7 +185,7 @@
 		rules.Replace(c.Rules)
 	}
 	s = &Server{core: core, link: link, pool: pool, presence: presence, thrift: newThriftFront(core, rules, logger, watch, monitor), idle: idle,
-		rules: rules, keys: keys, log: logger, fleet: member, tally: counted, watch: watch, file: c}
+		rules: rules, keys: keys, log: logger, monitor: monitor, fleet: member, tally: counted, watch: watch, file: c}
 	s.config.Store(c)
 	if err := s.listen("listen", c.Listen, c.ListenFD, int(float64(c.Sockets)*frontShare), s.thrift); err != nil {
 		return nil, err
@@ -496,8 +497,12 @@
 	s.log.Info("drain_phase", "phase", name, "open_requests", s.core.Open())
 }
 
-// stopped logs that the process may end, and whether connections are still open.
+// stopped logs that the process may end, and whether connections are still open. A
+// request that is open then is lost.
 func (s *Server) stopped(connections string) {
+	if open := s.core.Open(); open > 0 {
+		s.monitor.Violated(guard.LostRequest, "open_requests", open, "reason", "the process ends")
+	}
 	s.log.Info("stopped", "connections", connections, "open_requests", s.core.Open())
 }
 
