--- a/internal/faultsoak/relay.go
+++ b/internal/faultsoak/relay.go
@@ -32,6 +32,7 @@
 	target  string
 	mode    RelayMode
 	conns   map[net.Conn]bool
+	frozen  map[net.Conn]bool
 	closed  bool
 }
 
@@ -41,7 +42,7 @@
 	if err != nil {
 		return nil, err
 	}
-	r := &Relay{listener: listener, target: target, conns: map[net.Conn]bool{}}
+	r := &Relay{listener: listener, target: target, conns: map[net.Conn]bool{}, frozen: map[net.Conn]bool{}}
 	r.changed = sync.NewCond(&r.mu)
 	go r.accept()
 	return r, nil
@@ -71,6 +72,16 @@
 	}
 }
 
+// Freeze has nothing pass on the connections that are open, for good, as where the other
+// end has gone without a word. New connections are passed on.
+func (r *Relay) Freeze() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for conn := range r.conns {
+		r.frozen[conn] = true
+	}
+}
+
 // Reset resets the connections that are open.
 func (r *Relay) Reset() {
 	r.mu.Lock()
@@ -137,6 +148,12 @@
 	return r.mode == Forward && !r.closed
 }
 
+func (r *Relay) isFrozen(conn net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.frozen[conn]
+}
+
 // copy passes one direction on until either end closes.
 func (r *Relay) copy(from, to net.Conn) {
 	buffer := make([]byte, relayBufferBytes)
@@ -146,6 +163,9 @@
 			if !r.await() {
 				break
 			}
+			if r.isFrozen(from) {
+				continue
+			}
 			if _, err := to.Write(buffer[:n]); err != nil {
 				break
 			}
@@ -157,6 +177,8 @@
 	r.mu.Lock()
 	delete(r.conns, from)
 	delete(r.conns, to)
+	delete(r.frozen, from)
+	delete(r.frozen, to)
 	r.mu.Unlock()
 	_ = to.Close()
 	_ = from.Close()
--- a/internal/faultsoak/reproduction_test.go
+++ b/internal/faultsoak/reproduction_test.go
@@ -249,6 +249,24 @@
 	})
 }
 
+// TestSilentProcessorLinkIsReplaced: the link to the processor falls silent for good, with
+// no reset. Requests are served again within a few seconds, over a new link.
+func TestSilentProcessorLinkIsReplaced(t *testing.T) {
+	b := newBench(t)
+	c := b.dial()
+	b.ask(c, Ask{Body: "before"})
+	c.AwaitAnswers()
+	b.node.ProcessorRelay().Freeze()
+	time.Sleep(5 * time.Second)
+	for i := range 5 {
+		b.ask(c, Ask{Body: fmt.Sprint("after ", i)})
+		c.AwaitAnswers()
+	}
+	if served := b.verdict().Outcomes["served"]; served != 6 {
+		t.Errorf("%d requests were served, want 6", served)
+	}
+}
+
 // TestCrowdedNodeShuts: a node whose table of connections is full of silent ones, and
 // whose accept queue holds more, is told to stop and stands still over the end of the
 // grace. What was written to the connections behind the silent ones is answered.
