Dial the processor's link anew where it has fallen silent

Change: after 80 questions in a row with nothing said, about 2 s of the module's ticks, the link is aborted and dialled again (event processor_link_silent); not before the processor has been up once. Questions are counted, not time, so that a process that stood still does not take its own silence for the processor's.

--- a/program/backend/processor.go
+++ b/program/backend/processor.go
@@ -37,6 +37,13 @@
 	resume // answer or without
 )
 
+// maxUnanswered is how many questions in a row the processor may leave unanswered, with
+// nothing else said either, before its link is taken for dead and dialled anew: about two
+// seconds of the module's ticks. Each new link replaces the one before it, and runs go on,
+// so it costs little where the processor is only slow. Questions are counted and not
+// time, which a process that stands still does not notice.
+const maxUnanswered = 80
+
 // Processor is the backend that the processor is. A link that breaks may
 // have lost what was written last, so commands are kept until the answer to a
 // later question, or a notice of their run, proves that they were read. On a
@@ -60,6 +67,8 @@
 	trials   map[string]func(bool)
 	marker   uint64 // the question whose answer shows that all missed notices are in; 0 for none
 	greeting *transport.Conn
+	greeted  bool // the processor has been up on some link
+	silent   int  // questions asked, or not asked for want of a greeting, since it last said anything
 }
 
 // NewProcessor makes one that links to an address, and is told the gauges of these
@@ -120,7 +129,7 @@
 func (p *Processor) opened(c *transport.Conn) func(*bufio.Reader) error {
 	p.mu.Lock()
 	trials := p.lost() // where it moves, the connection before is still open
-	p.present, p.greeting = c, c
+	p.present, p.greeting, p.silent = c, c, 0
 	c.Send(processor.AppendHello(nil, p.last))
 	p.mu.Unlock()
 	fail(trials)
@@ -141,6 +150,7 @@
 		p.mu.Unlock()
 		return errReplaced
 	}
+	p.silent = 0
 	switch n.Kind {
 	case processor.Complete, processor.Ask, processor.Remark:
 		if n.Number <= p.last { // sent again after a break
@@ -157,6 +167,7 @@
 			return fmt.Errorf("%w: hi without hello", lines.ErrBroken)
 		}
 		p.asked++
+		p.greeted = true
 		p.marker = p.asked
 		p.greeting.Send(processor.AppendUsage(nil, strconv.FormatUint(p.marker, 10)))
 		tell = func() { p.core.Started(n.Word == "new", n.Took) }
@@ -270,6 +281,12 @@
 func (p *Processor) Usage(reply func(decision.Gauges)) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	if p.silent++; p.silent > maxUnanswered && p.greeted && p.present != nil {
+		p.log.Warn("processor_link_silent", "unanswered", p.silent)
+		p.silent = 0
+		p.present.Abort() // the link is dialled again
+		return
+	}
 	if p.conn == nil {
 		return
 	}
