--- a/internal/faultsoak/process.go
+++ b/internal/faultsoak/process.go
@@ -103,10 +103,12 @@
 	return nil
 }
 
-// command makes the process's command line and environment.
+// command makes the process's command line and environment. SIGHUP is ignored until the
+// program asks for it, as the deploy file's line run has it.
 func (p *process) command() *exec.Cmd {
 	n := p.node
-	cmd := exec.CommandContext(context.Background(), n.Binary, n.Args...)
+	args := append([]string{"-c", `trap '' HUP; exec "$0" "$@"`, n.Binary}, n.Args...)
+	cmd := exec.CommandContext(context.Background(), "/bin/sh", args...)
 	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+p.config, "QUINCERAIL_FAULTS="+p.faults), n.Env...)
 	if n.socket != nil {
 		cmd.ExtraFiles = []*os.File{n.socket}
