--- a/program/program.go
+++ b/program/program.go
@@ -34,6 +34,7 @@
 	closeMargin      = 200 * time.Millisecond // before the kill, when all has been answered and connections end
 	lastMargin       = 140 * time.Millisecond // before the kill, when they end even in the middle of a message
 	exitMargin       = 80 * time.Millisecond  // before the kill, when the process ends
+	unansweredIn     = 20 * time.Millisecond  // for the core to tell what has no answer then
 	heapShare        = 0.75                   // of the memory is for the heap
 	keysShare        = 8                      // one part in so many of the memory is for kept results
 	frontShare       = 0.625                  // of the descriptors: balancers keep to a half, others don't
@@ -500,10 +501,26 @@
 // stopped logs that the process may end, and whether connections are still open. A
 // request that is open then is lost.
 func (s *Server) stopped(connections string) {
-	if open := s.core.Open(); open > 0 {
+	open := s.unanswered()
+	if open > 0 {
 		s.monitor.Violated(guard.LostRequest, "open_requests", open, "reason", "the process ends")
 	}
-	s.log.Info("stopped", "connections", connections, "open_requests", s.core.Open())
+	s.log.Info("stopped", "connections", connections, "open_requests", open)
+}
+
+// unanswered gives how many requests have no answer, once the core has taken in what
+// became of the connections that ended last.
+func (s *Server) unanswered() int {
+	answer := make(chan int, 1)
+	if s.core.Unanswered(func(requests int) { answer <- requests }) != nil {
+		return int(s.core.Open())
+	}
+	select {
+	case requests := <-answer:
+		return requests
+	case <-time.After(unansweredIn):
+		return int(s.core.Open())
+	}
 }
 
 // empty is closed once no door lets in any more and the last connection has ended.
--- a/routing/core.go
+++ b/routing/core.go
@@ -130,6 +130,20 @@
 // called from any goroutine.
 func (c *Core) Open() int64 { return c.open.Load() }
 
+// Unanswered tells how many requests have no answer and a caller that waits for one, once
+// all that was handed in before is taken in.
+func (c *Core) Unanswered(reply func(requests int)) error {
+	return c.post(func() {
+		waiting := 0
+		for _, a := range c.attempts {
+			if !a.answered {
+				waiting++
+			}
+		}
+		reply(waiting)
+	})
+}
+
 // New makes a core. The error names the setting that makes no sense.
 func New(opt Options) (*Core, error) {
 	c := &Core{
