--- a/internal/faultsoak/faultbuild.go
+++ b/internal/faultsoak/faultbuild.go
@@ -9,6 +9,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"syscall"
 	"time"
@@ -57,6 +58,10 @@
 		"syscall/syscall_unix.go", "func Socket(domain, typ, proto int) (fd int, err error) {\n",
 		"func Socket(domain, typ, proto int) (fd int, err error) {\n" + plainHook("socket", "-1", "return -1, errno"),
 	},
+	{
+		"syscall/zsyscall_linux_" + runtime.GOARCH + ".go", "func Fsync(fd int) (err error) {\n",
+		"func Fsync(fd int) (err error) {\n" + plainHook("fsync", "fd", "return errno"),
+	},
 	{
 		"syscall/syscall_linux.go", "func Accept4(fd int, flags int) (nfd int, sa Sockaddr, err error) {\n",
 		"func Accept4(fd int, flags int) (nfd int, sa Sockaddr, err error) {\n" + plainHook("accept4", "fd", "return -1, nil, errno"),
--- a/internal/faultsoak/node.go
+++ b/internal/faultsoak/node.go
@@ -33,6 +33,7 @@
 	Env     []string       // of the process, beside the test's own
 	Args    []string
 	Faults  bool // Binary is of a build with faults
+	Keys    bool // its keys outlive the process, in a folder of its own
 	Inherit bool // its processes inherit the listening socket, and take over from each other
 }
 
--- a/internal/faultsoak/process.go
+++ b/internal/faultsoak/process.go
@@ -108,6 +108,9 @@
 func (p *process) command() *exec.Cmd {
 	n := p.node
 	args := append([]string{"-c", `trap '' HUP; exec "$0" "$@"`, n.Binary}, n.Args...)
+	if n.Keys {
+		args = append(args, "--keys", filepath.Join(n.Dir, "keys"))
+	}
 	cmd := exec.CommandContext(context.Background(), "/bin/sh", args...)
 	cmd.Env = append(append(os.Environ(), "GW_CONFIG="+p.config, "QUINCERAIL_FAULTS="+p.faults), n.Env...)
 	if n.socket != nil {
