Let a disk's trouble pass, and messages stand still for longer

TestUnreadableRecords now wants the unreadable key to count as run, as the issue does, in place of leaving it out.

Change: it may stand still for 2.4 s; only silent connections are told leaving after 1.5 s.

--- a/idempotency/journal/contents.go
+++ b/idempotency/journal/contents.go
@@ -16,10 +16,14 @@
 	doubtName = "doubt"
 )
 
+// unreadableAttempt stands for the id of the attempt that ran a key whose state can't be
+// decoded.
+const unreadableAttempt = "unreadable"
+
 // Contents is what a journal's directory holds.
 type Contents struct {
-	States         []routing.KeyState // in no particular order
-	UnreadableKeys []string           // keys whose state could not be decoded
+	States         []routing.KeyState // in no particular order; with those of UnreadableKeys
+	UnreadableKeys []string           // keys whose state could not be decoded: they count as run
 	UnknownRecords []string           // names of records that are not the journal's
 	InDoubtUntil   time.Time          // until when unknown keys are in doubt; zero if they are not
 	Losses         []store.Loss
@@ -52,6 +56,9 @@
 		var state routing.KeyState
 		if err := json.Unmarshal(value.Bytes, &state); err != nil {
 			contents.UnreadableKeys = append(contents.UnreadableKeys, key)
+			state = routing.KeyState{Ran: unreadableAttempt, Till: value.ExpiresAt, Over: true}
+			state.Key = key
+			contents.States = append(contents.States, state)
 			continue
 		}
 		contents.States = append(contents.States, state)
--- a/idempotency/journal/journal.go
+++ b/idempotency/journal/journal.go
@@ -16,6 +16,9 @@
 	eventRecordUnreadable = "keys_unreadable"
 	eventRecordsLost      = "keys_lost"
 	eventRecovered        = "keys_recovered"
+	eventDegraded         = "keys_degraded"
+	eventHealthy          = "keys_healthy"
+	eventMaintenance      = "keys_maintenance_failed"
 )
 
 // Options configure a Journal. Dir and LongestWindow are required.
@@ -53,7 +56,13 @@
 // and recovers what it holds. Its errors are of type *OpenError.
 func Open(options Options) (*Journal, Recovered, error) {
 	options = options.withDefaults()
-	s, stored, err := store.Open(store.Options{Dir: options.Dir, Sync: options.Sync, Now: options.Now})
+	s, stored, err := store.Open(store.Options{
+		Dir: options.Dir, Sync: options.Sync, Now: options.Now,
+		OnHealth: func(err error) { logHealth(options.Logger, err) },
+		OnMaintenanceError: func(err error) {
+			options.Logger.Warn(eventMaintenance, "error", err.Error())
+		},
+	})
 	if err != nil {
 		return nil, Recovered{}, &OpenError{Dir: options.Dir, Err: err}
 	}
@@ -102,6 +111,15 @@
 // Close waits for what was recorded and closes the journal.
 func (j *Journal) Close() error { return j.store.Close() }
 
+// logHealth logs that claims can't be made durable, or can be again.
+func logHealth(logger *slog.Logger, err error) {
+	if err != nil {
+		logger.Error(eventDegraded, "error", err.Error())
+		return
+	}
+	logger.Info(eventHealthy)
+}
+
 func logUnreadable(logger *slog.Logger, contents *Contents) {
 	for _, key := range contents.UnreadableKeys {
 		logger.Warn(eventRecordUnreadable, "key", keyPrefix+key)
--- a/program/program.go
+++ b/program/program.go
@@ -138,15 +138,6 @@
 		}
 	}
 	var member *fleet.Fleet
-	if c.Fleet != nil {
-		var err error
-		if member, err = fleet.Start(*c.Fleet); err != nil {
-			return nil, err
-		}
-		if watch != nil {
-			watch.watchFleet(member)
-		}
-	}
 	var s *Server
 	started := false
 	defer func() {
@@ -156,10 +147,24 @@
 		if member != nil {
 			member.Stop(0)
 		}
+		if keys != nil {
+			if err := keys.Close(); err != nil {
+				logger.Warn("keys_close_failed", "error", err.Error())
+			}
+		}
 		if s != nil {
 			s.closeListeners()
 		}
 	}()
+	if c.Fleet != nil {
+		var err error
+		if member, err = fleet.Start(*c.Fleet); err != nil {
+			return nil, err
+		}
+		if watch != nil {
+			watch.watchFleet(member)
+		}
+	}
 	var budgeted *downstream.Budgeted
 	if member != nil && member.QuotaAgent(fleet.Calls) != nil {
 		budgeted = downstream.NewBudgeted(pool, member.QuotaAgent(fleet.Calls), func() time.Duration { return c.Settings.Linger })
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -22,7 +22,8 @@
 
 const (
 	maxOpen      = 32                      // requests on one connection
-	thriftWithin = 1500 * time.Millisecond // that a message may stand still, and for the first to begin
+	thriftWithin = 1500 * time.Millisecond // for the first message to begin, until the peer is told leaving
+	thriftStalls = 2400 * time.Millisecond // that a message may stand still before it is whole
 	doorAhead    = 5 * time.Second         // that a caller's clock may be ahead of this one
 	longestLimit = 24 * 60 * 60 * 1000     // milliseconds that a caller may say it waits: any deadline is less
 	roomEvery    = 10 * time.Millisecond   // at most, room is made where connections are scarce; there,
@@ -77,7 +78,7 @@
 	if f.leaving.Load() { // else leave, which comes after this look, finds it registered
 		t.leave(leaveWithin)
 	}
-	c.ExpectWithin(thriftWithin, t.owes)
+	c.ExpectWithin(thriftWithin, thriftStalls, t.owes)
 	c.NotifyBeforeEnd(t.notify)
 	c.OnEnd(func(error) { t.lose() })
 	c.Serve(func(r *bufio.Reader) error {
--- a/store/errors.go
+++ b/store/errors.go
@@ -13,6 +13,10 @@
 	// ErrClosed reports a write after Close.
 	ErrClosed = errors.New("store: closed")
 
+	// ErrDegraded reports a write that could not be made durable, or one that is
+	// refused as one before it could not. Writes work again once the disk does.
+	ErrDegraded = errors.New("store: degraded")
+
 	// ErrRecordTooLarge reports a key or a value over the bounds of a record.
 	ErrRecordTooLarge = errors.New("store: record too large")
 )
--- a/store/recovery.go
+++ b/store/recovery.go
@@ -1,6 +1,7 @@
 package store
 
 import (
+	"errors"
 	"fmt"
 	"os"
 	"path/filepath"
@@ -66,14 +67,14 @@
 
 // findSegments lists the directory's segments in ascending order.
 func (r *recovery) findSegments() error {
-	paths, err := filepath.Glob(filepath.Join(r.store.options.Dir, "*"))
-	if err != nil {
+	entries, err := os.ReadDir(r.store.options.Dir)
+	if err != nil && !errors.Is(err, os.ErrNotExist) { // Inspect may look before there is one
 		return fmt.Errorf("store: list segments: %w", err)
 	}
-	for _, path := range paths {
-		name := filepath.Base(path)
+	for _, entry := range entries {
+		name := entry.Name()
 		if strings.HasSuffix(name, temporarySuffix) {
-			if err := r.removeTemporary(path); err != nil {
+			if err := r.removeTemporary(filepath.Join(r.store.options.Dir, name)); err != nil {
 				return err
 			}
 		} else if segment, ok := parseSegmentName(name); ok {
--- a/store/store.go
+++ b/store/store.go
@@ -33,6 +33,12 @@
 	MaxBytes     int64            // bound on the live records on disk; 0 for 64 MiB
 	SegmentBytes int64            // a segment is sealed at this size; 0 for 4 MiB
 	Now          func() time.Time // the clock that decides expiry; nil for time.Now
+	// OnHealth is told, by the writer's goroutine, each time that a write could not be
+	// made durable (why; an error that wraps ErrDegraded), and with nil once writes work
+	// again. OnMaintenanceError is told why a segment could not be started or compacted,
+	// which is tried again. Both must not block; nil for nothing.
+	OnHealth           func(error)
+	OnMaintenanceError func(error)
 }
 
 func (o Options) withDefaults() Options {
@@ -45,6 +51,12 @@
 	if o.Now == nil {
 		o.Now = time.Now
 	}
+	if o.OnHealth == nil {
+		o.OnHealth = func(error) {}
+	}
+	if o.OnMaintenanceError == nil {
+		o.OnMaintenanceError = func(error) {}
+	}
 	return o
 }
 
@@ -62,7 +74,7 @@
 	queue   []pendingWrite
 	wake    chan struct{} // tells the writer that the queue is not empty
 	closed  bool
-	failure error // of the writer; every write after it is refused with it
+	health  health
 
 	indexMu sync.Mutex // held throughout a compaction
 	index   recordIndex
@@ -104,8 +116,9 @@
 
 // Put writes a key's value, which expires at the time given. It calls done once:
 // with nil when the write is durable, or with the reason why it is not, which is
-// ErrFull, ErrClosed, ErrRecordTooLarge or an I/O error. done may be called
-// before Put returns, and must not block.
+// ErrFull, ErrClosed, ErrRecordTooLarge, or an I/O error behind ErrDegraded. done may be
+// called before Put returns, and must not block. After an I/O error the record may be on
+// disk or not.
 func (s *Store) Put(key string, value []byte, expiresAt time.Time, done func(error)) {
 	s.enqueue(pendingWrite{record{key: key, value: value, expiresAt: expiresAt}, done})
 }
@@ -174,6 +187,9 @@
 	}
 	close(s.wake)
 	<-s.writerDone
+	if s.active == nil { // a repair failed
+		return nil
+	}
 	if err := s.active.Close(); err != nil {
 		return fmt.Errorf("store: close segment: %w", err)
 	}
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -72,7 +72,7 @@
 	deadline    time.Time // for the read; zero for none
 	woken       bool
 	last        time.Time            // of the last message read or written
-	within      time.Duration        // for a message to come whole; 0 for no limit
+	standsStill time.Duration        // that a message may, before it is whole; 0 for no limit
 	owed        func() bool          // whether answers are still to go out
 	noticeLeft  func() time.Duration // until the peer has known for long enough that nothing new is wanted
 	ending      func(error)          // called before the last flush
@@ -167,13 +167,12 @@
 	}
 }
 
-// ExpectWithin sets how long a message may stand still before it is whole, and how
-// long the first may take to begin, so that a peer which says nothing is ended too.
-// Where answers are still owed by then, it ends after these. It must be called
-// before Serve.
-func (c *Conn) ExpectWithin(d time.Duration, owed func() bool) {
-	c.within, c.owed = d, owed
-	c.SetReadDeadline(time.Now().Add(d))
+// ExpectWithin sets how long the first message may take to begin, so that a peer which
+// says nothing is ended, and how long any may stand still before it is whole. Where
+// answers are still owed by then, it ends after these. It must be called before Serve.
+func (c *Conn) ExpectWithin(begins, standsStill time.Duration, owed func() bool) {
+	c.standsStill, c.owed = standsStill, owed
+	c.SetReadDeadline(time.Now().Add(begins))
 }
 
 // NotifyBeforeEnd has a peer told before the connection is ended for want of messages:
--- a/transport/serve.go
+++ b/transport/serve.go
@@ -112,7 +112,7 @@
 
 // facts collects what counts for the end of the connection.
 func (c *Conn) facts() guard.Connection {
-	facts := guard.Connection{Examined: c.examined, Owed: c.owes(), Partial: c.r.Buffered() > 0, Stalled: c.within}
+	facts := guard.Connection{Examined: c.examined, Owed: c.owes(), Partial: c.r.Buffered() > 0, Stalled: c.standsStill}
 	now := time.Now()
 	if facts.Partial {
 		facts.SilentFor = now.Sub(c.src.byteAt)
@@ -172,7 +172,7 @@
 
 // expect waits for a message's first byte, from which on its time counts.
 func (c *Conn) expect() error {
-	if c.within == 0 {
+	if c.standsStill == 0 {
 		return nil
 	}
 	if _, err := c.r.Peek(1); err != nil {
@@ -185,7 +185,7 @@
 	waiting := !c.deadline.IsZero()
 	c.mu.Unlock()
 	if !waiting {
-		c.SetReadDeadline(time.Now().Add(c.within))
+		c.SetReadDeadline(time.Now().Add(c.standsStill))
 	}
 	return nil
 }
@@ -200,7 +200,7 @@
 	if c.requested == closeIfIdle {
 		c.requested = noRequest
 	}
-	if c.within > 0 && c.requested != drain {
+	if c.standsStill > 0 && c.requested != drain {
 		c.deadline = time.Time{} // the next flush has the reads go by it
 	}
 }
