Begin nothing that a drain has overtaken, nor right after a long stall

Change: package guard is asked once more right before the backend hears of a run; after a stall that may have outlasted the grace nothing begins for 50 ms, in which a notice that came meanwhile is seen. The soak has nodes whose keys outlive their process, disk faults for them, and keyed requests that are asked again after a crash.

--- a/internal/faultsoak/clients.go
+++ b/internal/faultsoak/clients.go
@@ -14,6 +14,7 @@
 	clientTimeout = 15 * time.Second // for the answers to what a client has open
 	restTimeout   = 12 * time.Second // for a node to end a connection that rests
 	pipelined     = 20               // requests that one connection has open at most
+	maxUnanswered = 64               // keyed requests that wait to be asked again
 )
 
 // population is the clients of one node.
@@ -21,6 +22,9 @@
 	node    *Node
 	history *History
 	serial  *atomic.Int64 // names requests, over all nodes
+	// unanswered holds keyed requests whose connection ended without their answer; they
+	// are asked again.
+	unanswered chan Ask
 }
 
 // behaviour is what a client does with one connection, until it is done with it.
@@ -99,14 +103,39 @@
 	return a
 }
 
+// askAgain gives a keyed request whose connection ended without its answer, else a new one.
+func (p *population) askAgain(rng *rand.Rand) Ask {
+	select {
+	case a := <-p.unanswered:
+		return a
+	default:
+		return p.ask(rng)
+	}
+}
+
+// keep has a keyed request asked again if it has no answer.
+func (p *population) keep(a Ask, r *Request) {
+	answered := true
+	p.history.update(func() { answered = len(r.Answers) > 0 })
+	if answered || a.Key == "" {
+		return
+	}
+	select {
+	case p.unanswered <- a:
+	default: // enough of them wait
+	}
+}
+
 // steady sends one request after the other, and repeats keyed ones now and then.
 func steady(ctx context.Context, p *population, c *Client, rng *rand.Rand) {
 	for !c.Leaving() && pause(ctx, between(rng, 5*time.Millisecond, 60*time.Millisecond)) {
-		a := p.ask(rng)
-		if _, err := c.Send(a); err != nil {
+		a := p.askAgain(rng)
+		r, err := c.Send(a)
+		if err != nil {
 			return
 		}
 		c.awaitAnswers()
+		p.keep(a, r)
 		if a.Key != "" && rng.IntN(3) == 0 && !c.Leaving() {
 			if _, err := c.Send(a); err != nil {
 				return
--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -376,6 +376,14 @@
 	{Call: "socket", Probability: 0.5, Errno: syscall.ENOBUFS, Burst: 3},
 }
 
+// diskFaults lists how the folder of a node's keys fails.
+var diskFaults = []FaultRule{
+	{Call: "write", Files: true, Probability: 1, Errno: syscall.ENOSPC},
+	{Call: "write", Files: true, Probability: 0.3, Errno: syscall.EIO, Burst: 2},
+	{Call: "write", Files: true, Probability: 0.5},
+	{Call: "fsync", Files: true, Probability: 0.5, Errno: syscall.EIO, Burst: 2},
+}
+
 // wallSteps are seconds by which Unix time may be off.
 var wallSteps = []int64{-3600, -60, -5, -1, 1, 5, 60, 3600}
 
@@ -396,6 +404,9 @@
 			plan.Rules = append(plan.Rules, rule)
 		}
 	}
+	if o.node.Keys && rng.IntN(2) == 0 {
+		plan.Rules = append(plan.Rules, diskFaults[rng.IntN(len(diskFaults))])
+	}
 	o.tell(plan)
 	pause(ctx, between(rng, 200*time.Millisecond, 3*time.Second))
 	o.tell(FaultPlan{WallSeconds: o.wallSeconds})
--- a/internal/faultsoak/oracle.go
+++ b/internal/faultsoak/oracle.go
@@ -13,6 +13,8 @@
 	Grace       time.Duration // of a drain
 	AnswerSlack time.Duration // past the deadline
 	Window      time.Duration // of keyed classes
+	// DurableKeys names the nodes whose keys outlive their processes.
+	DurableKeys map[string]bool
 }
 
 // Slacks of the platform's rules, and of a busy test machine.
@@ -164,7 +166,8 @@
 	})
 }
 
-// keyedRuns checks that no key runs twice within its window in one life of a node.
+// keyedRuns checks that no key runs twice within its window in one life of a node, or at
+// all where its keys outlive its process.
 func (c *check) keyedRuns(requests []*Request) {
 	keyed := map[string]bool{}
 	for _, r := range requests {
@@ -179,7 +182,8 @@
 		}
 		id := run.Node + " " + run.Body
 		before, ran := last[id]
-		if ran && run.At.Sub(before.At) < c.terms.Window && !c.restartedBetween(run.Node, before.At, run.At) {
+		if ran && run.At.Sub(before.At) < c.terms.Window &&
+			(c.terms.DurableKeys[run.Node] || !c.restartedBetween(run.Node, before.At, run.At)) {
 			c.violate("duplicate", run.Node, run.At, "%q ran again after %v", run.Body, run.At.Sub(before.At))
 		}
 		last[id] = run
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -78,7 +78,7 @@
 		o := &operator{node: n, history: &s.history, fail: s.fail}
 		go o.watch(faults)
 		o.play(faults, rngs, &operators)
-		p := &population{node: n, history: &s.history, serial: &s.serial}
+		p := &population{node: n, history: &s.history, serial: &s.serial, unanswered: make(chan Ask, maxUnanswered)}
 		for _, b := range behaviours {
 			rng := rngs()
 			clients.Go(func() { p.run(asking, b.do, rng) })
@@ -114,7 +114,7 @@
 		}
 		n, err := StartNode(NodeConfig{
 			Name: name, Binary: s.opt.Binary, Dir: dir, Config: config, Took: 5 * time.Millisecond, Env: s.opt.Env,
-			Faults: s.opt.Faults, Inherit: i%2 == 1,
+			Faults: s.opt.Faults, Inherit: i%2 == 1, Keys: i%4 == 0,
 		})
 		if err != nil {
 			return nodes, err
@@ -139,7 +139,12 @@
 			}
 		}
 	}
-	result := SoakResult{Report: Check(&s.history, runs, DefaultTerms), Failures: s.failures, Reported: reported, Logs: logs}
+	terms := DefaultTerms
+	terms.DurableKeys = map[string]bool{}
+	for _, n := range nodes {
+		terms.DurableKeys[n.Name] = n.Keys
+	}
+	result := SoakResult{Report: Check(&s.history, runs, terms), Failures: s.failures, Reported: reported, Logs: logs}
 	result.Requests, result.Events = s.history.counts()
 	return result
 }
--- a/routing/core.go
+++ b/routing/core.go
@@ -118,6 +118,7 @@
 	untold    []*entry                // keys that a peer which has just come has not been told of
 	settled   chan struct{}           // closed once nothing is open; nil where nobody waits for that
 	draining  bool
+	holdUntil time.Duration // nothing is begun before: a notice to leave may not have been seen yet
 	noticeAt  time.Duration // when the notice to leave came at the earliest
 	graceEnd  time.Duration // of the drain
 	stopAt    time.Duration
@@ -213,9 +214,13 @@
 // tick reads the clock, and logs what happened to it and to the process meanwhile.
 func (c *Core) tick() {
 	c.now = c.clock.Now()
-	if stalled := c.stalls.batch(c.now); stalled >= stallLogged {
+	stalled := c.stalls.batch(c.now)
+	if stalled >= stallLogged {
 		c.log.Info("stalled", "for", stalled.Round(time.Millisecond).String())
 	}
+	if stalled > 0 && stalled >= c.set.DrainGrace && !c.draining {
+		c.holdUntil = c.now + stallHold
+	}
 	if step := c.clock.Observe(); step != 0 {
 		c.log.Warn("clock_stepped", "by", step.Round(time.Millisecond).String())
 	}
--- a/routing/route.go
+++ b/routing/route.go
@@ -36,6 +36,30 @@
 	if a.entry != nil {
 		h.keys.claim(a, a.kind.Window)
 	}
+	if hold := h.holdUntil - h.now; hold > 0 {
+		a.begun, a.claiming = true, true
+		time.AfterFunc(hold, func() { h.post(func() { h.held(a) }) })
+		return
+	}
+	h.claim(a)
+}
+
+// held goes on with a run that was held back after a stall.
+func (c *Core) held(a *attempt) {
+	if !a.claiming || c.attempts[a.ID] != a {
+		return
+	}
+	a.claiming = false
+	if a.answered { // given up meanwhile
+		c.completed(a.ID, Unborn, 0, Payload{})
+		return
+	}
+	a.begun = false
+	host{c}.claim(a)
+}
+
+// claim makes the claim of a run's key durable, where there is a journal, and begins it.
+func (h host) claim(a *attempt) {
 	if a.entry != nil && h.opt.Journal != nil { // it begins once its claim is durable
 		a.begun, a.claiming = true, true
 		k := h.state(a.entry)
--- a/routing/rules.go
+++ b/routing/rules.go
@@ -19,6 +19,14 @@
 	}
 }
 
+// mayBegin decides once more about a run that the module has begun, right before its
+// backend hears of it.
+func (c *Core) mayBegin(a *attempt) error {
+	return guard.MayStart(guard.Start{
+		Resumed: a.resuming, ReadBy: a.readBy, Draining: c.draining, GraceEnd: c.graceEnd,
+	})
+}
+
 // checkStart counts a run that begins against the rules.
 func (c *Core) checkStart(a *attempt) {
 	switch {
--- a/routing/send.go
+++ b/routing/send.go
@@ -44,6 +44,11 @@
 }
 
 func (c *Core) begin(a *attempt) {
+	if err := c.mayBegin(a); err != nil { // a drain has overtaken its claim, or its wait for a pool
+		c.opt.Monitor.Denied(guard.DrainStart, err, a.ID)
+		c.followUps = append(c.followUps, func() { c.turnAway(a) })
+		return
+	}
 	c.checkStart(a)
 	a.backend.Begin(Run{ID: a.ID, Class: a.Class, Due: c.clock.Time(a.due), Payload: a.Payload})
 	if c.set.Stop != decision.StopPause { // else it is begun again with the same, once it was paused
--- a/routing/stall.go
+++ b/routing/stall.go
@@ -13,6 +13,10 @@
 	stallRecent = 100 * time.Millisecond
 )
 
+// stallHold is for how long after a stall that may have outlasted the grace of a drain
+// nothing is begun: a notice to leave that came meanwhile is seen within it.
+const stallHold = 50 * time.Millisecond
+
 // stallWatch knows the spans in which the process stood still. The core's goroutine
 // notes its batches, others ask.
 type stallWatch struct {
--- /dev/null
+++ b/routing/stall_test.go
@@ -0,0 +1,57 @@
+package routing
+
+import (
+	"testing"
+	"time"
+)
+
+// TestNoStartForWhatDrainOvertakes: a request that was let in before the core heard of a
+// drain, whose grace was over by then, does not begin once its claim is durable: its
+// key's claim is given back, and it is turned away.
+func TestNoStartForWhatDrainOvertakes(t *testing.T) {
+	j := &journal{}
+	playJournal(t, func(o *Options) { o.Journal = j }, func(t *testing.T, p *party) {
+		p.submit(t, "a", "gift", "k")
+		p.Drain(time.Now().Add(-time.Minute), time.Now().Add(time.Minute))
+		p.wait()
+		j.settle(nil)
+		p.wait()
+		p.wantAnswer(t, "a", Refused, "")
+		if p.runs["a"] != 0 {
+			t.Error("it ran after the grace")
+		}
+	})
+}
+
+// TestNoStartRightAfterAStall: the core stands still for longer than a drain's grace. What
+// it reads then does not begin before a notice that came meanwhile can have been seen.
+func TestNoStartRightAfterAStall(t *testing.T) {
+	for _, noticed := range []bool{true, false} {
+		bubble(t, func(t *testing.T, p *party) {
+			p.post(func() { // the batch before the next was so long ago
+				p.stalls.mu.Lock()
+				p.stalls.last -= 2 * settings().DrainGrace
+				p.stalls.mu.Unlock()
+			})
+			p.wait()
+			if err := p.Submit(Request{ID: "a", Class: "read", Door: time.Now(), HeldKB: 20, Sink: sink{p}}); err != nil {
+				t.Fatal(err)
+			}
+			p.wait()
+			p.sleep(stallHold / 2)
+			if noticed {
+				p.Drain(p.NoticeTime(), time.Now().Add(time.Minute))
+			}
+			p.sleep(stallHold)
+			p.wait()
+			want := 1
+			if noticed {
+				want = 0
+				p.wantAnswer(t, "a", Refused, "")
+			}
+			if p.runs["a"] != want {
+				t.Errorf("noticed %t: it ran %d times, want %d", noticed, p.runs["a"], want)
+			}
+		})
+	}
+}
