--- a/store/doc.go
+++ b/store/doc.go
@@ -43,9 +43,14 @@
 //
 // With SyncAlways a record is durable through a power loss once its done
 // function was called without an error; with SyncNever, through a crash of the
-// process. Records become durable in the order in which they were accepted. An
-// I/O error of the writer stops the store: how much of the group is on disk is
-// not known, so every write after it is refused with that error.
+// process. Records become durable in the order in which they were accepted.
+//
+// After an I/O error of the writer the store is degraded: how much of the group is on
+// disk is not known, and its writes are refused with ErrDegraded, as are those of the
+// next 0.1 to 1 s. The next write after that has the writer cut off what was not
+// acknowledged and start a new segment; the old file is not written or synced again,
+// since after a sync that failed a further one proves nothing. Where that works the
+// store is healthy again, without a restart.
 //
 // # Compaction
 //
