Read the segment's size before writes are acknowledged

Cause: the test command failed under -race (TestCompactionCrash): since the store repairs itself, the writer read the segment's size after it had acknowledged a group, when a test may already write it.

--- a/store/writer.go
+++ b/store/writer.go
@@ -69,10 +69,11 @@
 		return buffer
 	}
 	buffer, err := s.writeGroup(buffer[:0], group)
+	sealDue := err == nil && s.activeBytes >= s.options.SegmentBytes
 	for _, w := range group {
 		w.done(err)
 	}
-	if err == nil && s.activeBytes >= s.options.SegmentBytes {
+	if sealDue {
 		s.seal()
 	}
 	return buffer
