--- a/transport/crossing_test.go
+++ b/transport/crossing_test.go
@@ -283,6 +283,18 @@
 	return nil
 }
 
+// echo answers each message of a connection.
+func echo(c *Conn) {
+	c.Serve(func(r *bufio.Reader) error {
+		b, err := r.Peek(frame)
+		if err == nil {
+			c.Send(append([]byte("re "), b...))
+			r.Discard(frame)
+		}
+		return err
+	})
+}
+
 // TestShutTakesThoseThatWait: connections that the system has accepted are let in
 // before the listener closes: closed with it, they would be reset with all that
 // was written to them.
@@ -293,16 +305,7 @@
 	}
 	const waiting = 3
 	room := &waitingRoom{TCPListener: l.(*net.TCPListener), open: make(chan struct{}), shutting: make(chan struct{}), left: waiting}
-	s := NewServer(room, 9, func(c *Conn) {
-		c.Serve(func(r *bufio.Reader) error {
-			b, err := r.Peek(frame)
-			if err == nil {
-				c.Send(append([]byte("re "), b...))
-				r.Discard(frame)
-			}
-			return err
-		})
-	}, func() {})
+	s := NewServer(room, 9, echo, func() {})
 	running := make(chan struct{})
 	go func() { s.Run(); close(running) }()
 	var conns []net.Conn
@@ -332,16 +335,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := NewServer(l, 1, func(c *Conn) {
-		c.Serve(func(r *bufio.Reader) error {
-			b, err := r.Peek(frame)
-			if err == nil {
-				c.Send(append([]byte("re "), b...))
-				r.Discard(frame)
-			}
-			return err
-		})
-	}, func() {})
+	s := NewServer(l, 1, echo, func() {})
 	go s.Run()
 	const waiting = 2 * shutExcess
 	var conns []net.Conn
