Keep a hold after a stall apart from a claim that a peer decides

Cause (read again): a run that is held back for 50 ms after a long stall was marked as one that waits for its peer's word. Where the peer went within that time, Core.Parted settled it as a claim and dereferenced the key entry that an unkeyed run does not have: the process would crash. Change: a state of its own. Measured: TestHoldOutlivesAPeer panics before and passes now; routing passes under -race.

--- a/routing/route.go
+++ b/routing/route.go
@@ -37,19 +37,19 @@
 		h.keys.claim(a, a.kind.Window)
 	}
 	if hold := h.holdUntil - h.now; hold > 0 {
-		a.begun, a.claiming = true, true
-		time.AfterFunc(hold, func() { h.post(func() { h.held(a) }) })
+		a.begun, a.held = true, true
+		time.AfterFunc(hold, func() { h.post(func() { h.endHold(a) }) })
 		return
 	}
 	h.claim(a)
 }
 
-// held goes on with a run that was held back after a stall.
-func (c *Core) held(a *attempt) {
-	if !a.claiming || c.attempts[a.ID] != a {
+// endHold goes on with a run that was held back after a stall.
+func (c *Core) endHold(a *attempt) {
+	if !a.held || c.attempts[a.ID] != a {
 		return
 	}
-	a.claiming = false
+	a.held = false
 	if a.answered { // given up meanwhile
 		c.completed(a.ID, Unborn, 0, Payload{})
 		return
@@ -109,7 +109,7 @@
 func (h host) Halt(id string) {
 	a := h.attempts[id]
 	switch {
-	case a == nil || !a.begun || a.claiming:
+	case a == nil || !a.begun || a.claiming || a.held:
 	case a.pooled: // it waits in its pool's line: it never began
 		h.pools.Leave(a.class, id)
 		h.followUps = append(h.followUps, func() { h.completed(id, Unborn, 0, Payload{}) })
--- a/routing/stall_test.go
+++ b/routing/stall_test.go
@@ -23,17 +23,22 @@
 	})
 }
 
+// standStill has the core find that it stood still for longer than a drain's grace.
+func (p *party) standStill() {
+	p.post(func() { // the batch before the next was so long ago
+		p.stalls.mu.Lock()
+		p.stalls.last -= 2 * settings().DrainGrace
+		p.stalls.mu.Unlock()
+	})
+	p.wait()
+}
+
 // TestNoStartRightAfterAStall: the core stands still for longer than a drain's grace. What
 // it reads then does not begin before a notice that came meanwhile can have been seen.
 func TestNoStartRightAfterAStall(t *testing.T) {
 	for _, noticed := range []bool{true, false} {
 		bubble(t, func(t *testing.T, p *party) {
-			p.post(func() { // the batch before the next was so long ago
-				p.stalls.mu.Lock()
-				p.stalls.last -= 2 * settings().DrainGrace
-				p.stalls.mu.Unlock()
-			})
-			p.wait()
+			p.standStill()
 			if err := p.Submit(Request{ID: "a", Class: "read", Door: time.Now(), HeldKB: 20, Sink: sink{p}}); err != nil {
 				t.Fatal(err)
 			}
@@ -55,3 +60,17 @@
 		})
 	}
 }
+
+// TestHoldOutlivesAPeer: a peer goes while an unkeyed run is held back after a stall. The
+// run waits for no word of the peer's, and begins once the hold is over.
+func TestHoldOutlivesAPeer(t *testing.T) {
+	bubble(t, func(t *testing.T, p *party) {
+		p.standStill()
+		p.submit(t, "a", "read", "")
+		p.Parted(nil) // as the present peer, of which there is none
+		p.sleep(2 * stallHold)
+		if p.runs["a"] != 1 {
+			t.Errorf("it ran %d times, want 1", p.runs["a"])
+		}
+	})
+}
--- a/routing/takein.go
+++ b/routing/takein.go
@@ -27,6 +27,7 @@
 	answered bool   // it has its one answer, or none is owed
 	begun    bool   // its run was begun and has not ended
 	claiming bool   // it is begun once the peer that was there first lets it
+	held     bool   // it is begun once a hold after a stall is over
 	halting  bool   // its run was told to stop
 	paused   bool   // its run stopped where it is, and goes on when it is begun again
 	body     uint64 // keyed: hash of what it brings
