--- /dev/null
+++ b/program/reload.go
@@ -0,0 +1,63 @@
+package program
+
+import (
+	"fmt"
+	"slices"
+)
+
+// Reload takes over a new configuration while all goes on: where the other
+// parties are, the settings, the limits, and how soon the kill follows the notice
+// to leave. An error names what makes no sense, or is missing, and nothing has
+// changed then. What can't change in a running process is named in the log, and
+// stays. u may be nil. What the fleet changed of the settings stays changed.
+func (s *Server) Reload(c *Config, u *UWSGIConfig) error {
+	s.reloading.Lock()
+	defer s.reloading.Unlock()
+	if key := c.lacks(s.file); key != "" {
+		return fmt.Errorf("%s: it is missing", key)
+	}
+	next, err := c.with(s.patch)
+	if err != nil {
+		return fmt.Errorf("with what the fleet changed: %w", err)
+	}
+	if err := s.reload(next, u); err != nil {
+		return err
+	}
+	s.file = c
+	return nil
+}
+
+// reload puts a configuration in force.
+func (s *Server) reload(c *Config, u *UWSGIConfig) error {
+	was := s.config.Load()
+	if err := s.core.Retune(c.Settings, c.Classes, c.Tenants); err != nil {
+		return err
+	}
+	Limit(c)
+	s.link.Move(c.Processor)
+	s.pool.Move(c.Ledger)
+	s.presence.move(c.Announce)
+	if c.Rules != nil && c.Rules != was.Rules {
+		s.log.Info("rules", "version", s.rules.Replace(c.Rules), "rules", c.Rules.Len())
+	}
+	stays := map[string]bool{"name": c.Name != was.Name, "listen": c.Listen != was.Listen, "control": c.Control != was.Control,
+		"limits.sockets": c.Sockets != was.Sockets, "settings.familyInfo.ownStats": !slices.Equal(c.Gauges, was.Gauges)}
+	if s.uwsgi != nil && u != nil {
+		s.backend.Move(u.Backend)
+		stays["uwsgi listen"] = s.uwsgi.reload(u)
+	}
+	for key, changed := range stays {
+		if changed {
+			s.log.Warn("reload_ignored", "key", key, "reason", "needs a restart")
+		}
+	}
+	if s.tally != nil {
+		s.tally.tune(c.Classes, c.Settings)
+	}
+	if s.watch != nil {
+		s.watch.tune(c.Classes)
+	}
+	s.config.Store(c)
+	s.log.Info("reloaded", "processor", c.Processor, "ledger", c.Ledger, "announce", c.Announce, "classes", fmt.Sprintf("%q", c.Classes))
+	return nil
+}
--- a/routing/answer.go
+++ b/routing/answer.go
@@ -91,3 +91,17 @@
 		})
 	}
 }
+
+// Unanswered tells how many requests have no answer and a caller that waits for one, once
+// all that was handed in before is taken in.
+func (c *Core) Unanswered(reply func(requests int)) error {
+	return c.post(func() {
+		waiting := 0
+		for _, a := range c.attempts {
+			if !a.answered {
+				waiting++
+			}
+		}
+		reply(waiting)
+	})
+}
--- a/routing/core.go
+++ b/routing/core.go
@@ -131,20 +131,6 @@
 // called from any goroutine.
 func (c *Core) Open() int64 { return c.open.Load() }
 
-// Unanswered tells how many requests have no answer and a caller that waits for one, once
-// all that was handed in before is taken in.
-func (c *Core) Unanswered(reply func(requests int)) error {
-	return c.post(func() {
-		waiting := 0
-		for _, a := range c.attempts {
-			if !a.answered {
-				waiting++
-			}
-		}
-		reply(waiting)
-	})
-}
-
 // New makes a core. The error names the setting that makes no sense.
 func New(opt Options) (*Core, error) {
 	c := &Core{
@@ -211,28 +197,6 @@
 // Done is closed when Run has ended.
 func (c *Core) Done() <-chan struct{} { return c.done }
 
-// tick reads the clock, and logs what happened to it and to the process meanwhile.
-func (c *Core) tick() {
-	c.now = c.clock.Now()
-	stalled := c.stalls.batch(c.now)
-	if stalled >= stallLogged {
-		c.log.Info("stalled", "for", stalled.Round(time.Millisecond).String())
-	}
-	if stalled > 0 && stalled >= c.set.DrainGrace && !c.draining {
-		c.holdUntil = c.now + stallHold
-	}
-	if step := c.clock.Observe(); step != 0 {
-		c.log.Warn("clock_stepped", "by", step.Round(time.Millisecond).String())
-	}
-}
-
-// Clock is the clock that the core goes by.
-func (c *Core) Clock() *clock.Clock { return c.clock }
-
-// NoticeTime gives the earliest moment at which a signal that is seen now may have been
-// sent: the process may have stood still when it came.
-func (c *Core) NoticeTime() time.Time { return c.clock.Time(c.stalls.notBefore(c.clock.Now())) }
-
 // decide lets the module settle the batch, and again what that itself brought.
 func (c *Core) decide() {
 	for c.module != nil {
@@ -306,13 +270,6 @@
 	})
 }
 
-// Doubt has the core take keys that it does not know for ones that may have run, until
-// a time: tries of them fail, and are never run. It is for a process that could not learn
-// what another one ran.
-func (c *Core) Doubt(until time.Time) error {
-	return c.post(func() { c.inDoubtUntil = max(c.inDoubtUntil, c.clock.At(until)) })
-}
-
 // wake arranges the module's timer; it comes with the gauges of the moment, or
 // with the last ones if the machine is slow to tell.
 func (c *Core) wake(after time.Duration, token int64) {
--- a/routing/peer.go
+++ b/routing/peer.go
@@ -179,3 +179,10 @@
 		c.peer.Tell(k)
 	}
 }
+
+// Doubt has the core take keys that it does not know for ones that may have run, until
+// a time: tries of them fail, and are never run. It is for a process that could not learn
+// what another one ran.
+func (c *Core) Doubt(until time.Time) error {
+	return c.post(func() { c.inDoubtUntil = max(c.inDoubtUntil, c.clock.At(until)) })
+}
--- a/routing/stall.go
+++ b/routing/stall.go
@@ -3,6 +3,8 @@
 import (
 	"sync"
 	"time"
+
+	"quincerail.example/quincerail/clock"
 )
 
 // A process is taken to have stood still where the core, which is woken every few
@@ -61,3 +63,25 @@
 	}
 	return now
 }
+
+// tick reads the clock, and logs what happened to it and to the process meanwhile.
+func (c *Core) tick() {
+	c.now = c.clock.Now()
+	stalled := c.stalls.batch(c.now)
+	if stalled >= stallLogged {
+		c.log.Info("stalled", "for", stalled.Round(time.Millisecond).String())
+	}
+	if stalled > 0 && stalled >= c.set.DrainGrace && !c.draining {
+		c.holdUntil = c.now + stallHold
+	}
+	if step := c.clock.Observe(); step != 0 {
+		c.log.Warn("clock_stepped", "by", step.Round(time.Millisecond).String())
+	}
+}
+
+// Clock is the clock that the core goes by.
+func (c *Core) Clock() *clock.Clock { return c.clock }
+
+// NoticeTime gives the earliest moment at which a signal that is seen now may have been
+// sent: the process may have stood still when it came.
+func (c *Core) NoticeTime() time.Time { return c.clock.Time(c.stalls.notBefore(c.clock.Now())) }
