Log and count what is open as any connection ends, and why

Change: connection_ended is always logged where requests were unanswered or bytes were dropped, with the error, ids, messages read and bytes unsent; connection_discarding as messages are taken no more; processor_link_restored with the commands sent again; request_answered (debug) with kind and state; two counters by reason of end. No decision is changed.

--- a/program/backend/processor.go
+++ b/program/backend/processor.go
@@ -68,6 +68,7 @@
 	marker   uint64 // the question whose answer shows that all missed notices are in; 0 for none
 	greeting *transport.Conn
 	greeted  bool // the processor has been up on some link
+	inOrder  bool // a link has been in order before
 	silent   int  // questions asked, or not asked for want of a greeting, since it last said anything
 }
 
@@ -220,6 +221,10 @@
 
 // resend sends what may have been lost, and what came while there was no link.
 func (p *Processor) resend() {
+	if p.inOrder {
+		p.log.Info("processor_link_restored", "commands_sent_again", len(p.pending))
+	}
+	p.inOrder = true
 	for i := range p.pending {
 		p.pending[i].sent, p.pending[i].after = true, p.asked
 		p.conn.Send(p.pending[i].text)
--- a/program/metrics.go
+++ b/program/metrics.go
@@ -15,9 +15,8 @@
 	"quincerail.example/quincerail/transport"
 )
 
-// kindNames are the answers' kinds as the metrics label them.
-var kindNames = map[routing.Kind]string{routing.Served: "served", routing.Refused: "refused",
-	routing.Failed: "failed", routing.TimedOut: "deadline", routing.Rejected: "rejected"}
+// answerKinds are all kinds of answers.
+var answerKinds = []routing.Kind{routing.Served, routing.Refused, routing.Failed, routing.TimedOut, routing.Rejected}
 
 // metrics are a server's counts for its operators, in the Prometheus text
 // format on a listener of the operator's own (github.com/prometheus/client_golang):
@@ -27,6 +26,8 @@
 //	quincerail_repeats_total{class}         of those served, the ones with another try's result
 //	quincerail_answer_seconds{class,kind}   from a request's coming to its answer
 //	quincerail_connections_ended_total{reason}  of balancers, by why they ended
+//	quincerail_unanswered_at_end_total{reason}  requests that were open as their connection ended, likewise
+//	quincerail_discarded_bytes_total{reason}    bytes that were read and dropped as their connection ended, likewise
 //	quincerail_rule_violations_total{rule}  rules of the platform that were broken, as the program itself found
 //	quincerail_rule_denials_total{rule}     what was not done so that they were not
 //	quincerail_open_requests                handed in and not answered yet: held, waiting and running
@@ -46,8 +47,10 @@
 	repeats  *prometheus.CounterVec
 	latency  *prometheus.HistogramVec
 	ended    *prometheus.CounterVec
-	count    func(kind string) // for the whole fleet
-	classes  []string          // in force; of the server's reloads alone
+	open     *prometheus.CounterVec // requests at a connection's end
+	dropped  *prometheus.CounterVec // bytes at a connection's end
+	count    func(kind string)      // for the whole fleet
+	classes  []string               // in force; of the server's reloads alone
 }
 
 // tune drops what was counted of classes that are no longer in force. It comes after
@@ -76,7 +79,11 @@
 	}
 	m.ended = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "quincerail_connections_ended_total",
 		Help: "Connections of balancers that ended, by reason."}, []string{"reason"})
-	m.registry.MustRegister(m.answers, m.repeats, m.latency, m.ended,
+	m.open = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "quincerail_unanswered_at_end_total",
+		Help: "Requests without an answer as their connection ended, by the reason of its end."}, []string{"reason"})
+	m.dropped = prometheus.NewCounterVec(prometheus.CounterOpts{Name: "quincerail_discarded_bytes_total",
+		Help: "Bytes that were read and dropped as their connection ended, by the reason of its end."}, []string{"reason"})
+	m.registry.MustRegister(m.answers, m.repeats, m.latency, m.ended, m.open, m.dropped,
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "quincerail_open_requests",
 			Help: "Requests handed in and not answered yet."}, func() float64 {
 			if c := m.core.Load(); c != nil {
@@ -136,16 +143,16 @@
 		return
 	}
 	m.count = calls.AddToCounter
-	for _, kind := range kindNames {
+	for _, kind := range answerKinds {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: "quincerail_fleet_answers",
-			ConstLabels: prometheus.Labels{"kind": kind}, Help: "Final answers of the whole fleet, as far as this member has heard."},
-			func() float64 { return float64(calls.CounterValue(kind)) }))
+			ConstLabels: prometheus.Labels{"kind": kind.String()}, Help: "Final answers of the whole fleet, as far as this member has heard."},
+			func() float64 { return float64(calls.CounterValue(kind.String())) }))
 	}
 }
 
 // Answered implements routing.Observer.
 func (m *metrics) Answered(class string, kind routing.Kind, took time.Duration, repeat bool) {
-	name := kindNames[kind]
+	name := kind.String()
 	m.answers.WithLabelValues(class, name).Inc()
 	m.count(name)
 	m.latency.WithLabelValues(class, name).Observe(took.Seconds())
@@ -168,11 +175,16 @@
 	}
 }
 
-// connectionEnded counts a connection's end; a nil receiver counts nothing.
-func (m *metrics) connectionEnded(reason transport.EndReason) {
-	if m != nil {
-		m.ended.WithLabelValues(string(reason)).Inc()
+// connectionEnded counts a connection's end, with the requests that had no answer then; a
+// nil receiver counts nothing.
+func (m *metrics) connectionEnded(end transport.Ending, unanswered int) {
+	if m == nil {
+		return
 	}
+	reason := string(end.Reason)
+	m.ended.WithLabelValues(reason).Inc()
+	m.open.WithLabelValues(reason).Add(float64(unanswered))
+	m.dropped.WithLabelValues(reason).Add(float64(end.Discarded) + float64(end.Partial))
 }
 
 // handler offers /metrics.
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -9,6 +9,7 @@
 	"math"
 	"slices"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -80,7 +81,11 @@
 	}
 	c.ExpectWithin(thriftWithin, thriftStalls, t.owes)
 	c.NotifyBeforeEnd(t.notify)
-	c.OnEnd(func(error) { t.lose() })
+	var lost []string
+	c.OnEnd(func(error) { lost = t.lose() })
+	c.OnDiscard(func(why error) {
+		f.log.Warn("connection_discarding", "peer", c.PeerAddr(), "error", why.Error(), "open_requests", t.openRequests())
+	})
 	c.Serve(func(r *bufio.Reader) error {
 		m, err := thrift.Read(r)
 		if err != nil {
@@ -88,33 +93,47 @@
 		}
 		return t.take(m)
 	})
-	lost := t.lose() // also where a write failed
+	lost = append(lost, t.lose()...) // also where a write failed
 	f.ended(c, lost)
 }
 
-// ended reports a connection's end. One that this process ended over bytes that were not
-// taken, or with requests that have no answer, is logged as a warning: a request may have
-// been lost with it.
-func (f *thriftFront) ended(c *transport.Conn, lost int) {
+// maxLoggedRequests bounds how many request ids one log line has.
+const maxLoggedRequests = 8
+
+// ended reports a connection's end. One with requests that have no answer, or bytes that
+// were not taken, is always logged, and as a warning unless the peer ended it: a request
+// may have been lost with it.
+func (f *thriftFront) ended(c *transport.Conn, lost []string) {
 	end := c.End()
-	f.observer.connectionEnded(end.Reason)
-	level := slog.LevelDebug
-	if end.Reason.Own() {
-		if lost > 0 || end.Partial > 0 || end.Discarded > 0 {
-			level = slog.LevelWarn
-		}
-		if end.Owed {
-			f.monitor.Violated(guard.LostRequest, "peer", c.PeerAddr(), "reason", string(end.Reason))
-		}
+	f.observer.connectionEnded(end, len(lost))
+	if end.Reason.Own() && end.Owed {
+		f.monitor.Violated(guard.LostRequest, "peer", c.PeerAddr(), "reason", string(end.Reason))
+	}
+	level := endLevel(end, len(lost))
+	if !f.log.Enabled(context.Background(), level) {
+		return
+	}
+	f.log.Log(context.Background(), level, "connection_ended", "reason", string(end.Reason), "error", errorText(end.Err),
+		"peer", c.PeerAddr(), "open_for", c.Age().Round(time.Millisecond).String(),
+		"since_active", end.SinceActive.Round(time.Millisecond).String(), "messages", end.Messages,
+		"unanswered", len(lost), "requests", strings.Join(lost[:min(len(lost), maxLoggedRequests)], ","),
+		"unsent_bytes", end.Unsent, "partial_bytes", end.Partial, "discarded_bytes", end.Discarded)
+}
+
+// endLevel is the level at which a connection's end is logged.
+func endLevel(end transport.Ending, lost int) slog.Level {
+	switch {
+	case lost == 0 && end.Partial == 0 && end.Discarded == 0 && end.Unsent == 0:
+		return slog.LevelDebug
+	case end.Reason == transport.PeerClosed, end.Reason == transport.PeerFailed:
+		return slog.LevelInfo
 	}
-	f.log.Log(context.Background(), level, "connection_ended", "reason", string(end.Reason), "peer", c.PeerAddr(),
-		"open_for", c.Age().Round(time.Millisecond).String(), "unanswered", lost, "partial_bytes", end.Partial,
-		"discarded_bytes", end.Discarded)
+	return slog.LevelWarn
 }
 
 // lose gives up what is open as the connection ends. A caller that has only shut
-// its writing end still reads, and is told so. It returns how many were open.
-func (t *thriftConn) lose() (open int) {
+// its writing end still reads, and is told so. It returns the ids of those that were open.
+func (t *thriftConn) lose() (ids []string) {
 	t.mu.Lock()
 	lost := t.open
 	t.open, t.ids = make(map[string]int32), make(map[int32]string)
@@ -124,8 +143,9 @@
 	t.mu.Unlock()
 	for id := range lost {
 		t.core.Lost(id, t)
+		ids = append(ids, id)
 	}
-	return len(lost)
+	return ids
 }
 
 func (t *thriftConn) take(m *thrift.Message) error {
@@ -331,6 +351,13 @@
 	return t.owesLocked()
 }
 
+// openRequests is how many requests are open.
+func (t *thriftConn) openRequests() int {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.open)
+}
+
 func (t *thriftConn) owesLocked() bool { return len(t.open)+t.checks > 0 }
 
 // left tells whether leave of the connection was taken before.
--- a/routing/answer.go
+++ b/routing/answer.go
@@ -1,6 +1,8 @@
 package routing
 
 import (
+	"context"
+	"log/slog"
 	"time"
 
 	"quincerail.example/quincerail/guard"
@@ -15,6 +17,7 @@
 		return
 	}
 	a.answered = true
+	c.logAnswer(a, o)
 	c.checkAnswer(a, o)
 	a.Sink.Answer(a.ID, o)
 	c.open.Add(-1)
@@ -29,6 +32,15 @@
 	c.release(a)
 }
 
+// logAnswer traces a request's final answer, at the level debug.
+func (c *Core) logAnswer(a *attempt, o Outcome) {
+	if !c.log.Enabled(context.Background(), slog.LevelDebug) {
+		return
+	}
+	c.log.Debug("request_answered", "request", a.ID, "class", a.Class, "kind", o.Kind.String(),
+		"after", (c.now - a.door).Round(time.Millisecond).String(), "begun", a.begun, "ran", a.ran, "draining", c.draining)
+}
+
 // answerOverdue answers what the module has let pass its time, so that rule 1
 // holds whatever it does. It hears nothing of a request whose id it still knows
 // from an earlier one, for example: a caller that uses an id again would wait
--- a/routing/routing.go
+++ b/routing/routing.go
@@ -64,6 +64,11 @@
 	Rejected // never run: its id is open, or its key is another request's
 )
 
+// String names the kind, as metrics and logs do.
+func (k Kind) String() string {
+	return [...]string{Served: "served", Refused: "refused", Failed: "failed", TimedOut: "deadline", Rejected: "rejected"}[k]
+}
+
 // Outcome is a request's final answer.
 type Outcome struct {
 	Kind   Kind
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -76,6 +76,7 @@
 	owed        func() bool          // whether answers are still to go out
 	noticeLeft  func() time.Duration // until the peer has known for long enough that nothing new is wanted
 	ending      func(error)          // called before the last flush
+	discarding  func(error)          // called when messages are taken no more, while answers are owed
 	spoken      bool                 // a whole message has come
 	drainPeriod time.Duration        // that the peer has to end its side, after the half-close
 }
@@ -185,6 +186,10 @@
 // called before Serve.
 func (c *Conn) OnEnd(f func(error)) { c.ending = f }
 
+// OnDiscard has f called when the connection takes no more messages as one made no sense,
+// with that reason, while answers are still owed. It must be called before Serve.
+func (c *Conn) OnDiscard(f func(error)) { c.discarding = f }
+
 // Spoken tells whether a whole message has ever come.
 func (c *Conn) Spoken() bool {
 	c.mu.Lock()
--- a/transport/ending.go
+++ b/transport/ending.go
@@ -37,10 +37,14 @@
 // Ending is how a connection ended. Bytes that were not taken are what a request may
 // have been lost with.
 type Ending struct {
-	Reason    EndReason
-	Owed      bool  // answers were owed when it began to end
-	Partial   int   // bytes of a message that was not whole when reading ended
-	Discarded int64 // bytes that came later and were dropped
+	Reason      EndReason
+	Err         error         // that ended the reading or writing; nil where it was asked to end
+	Owed        bool          // answers were owed when it began to end
+	Partial     int           // bytes of a message that was not whole when reading ended
+	Discarded   int64         // bytes that came later and were dropped
+	Unsent      int           // bytes of answers that were queued and not written
+	Messages    int           // whole messages that were read
+	SinceActive time.Duration // from the last message read or queued to the end
 }
 
 // End reports how the connection ended. It holds once Serve has returned.
@@ -62,7 +66,7 @@
 // abort records that the connection ends because a flush failed. It returns the
 // error that it is called with.
 func (c *Conn) abort(err error) error {
-	c.end.Reason = WriteFailed
+	c.end.Reason, c.end.Err = WriteFailed, err
 	switch {
 	case errors.Is(err, ErrCutOff):
 		c.end.Reason = CutOff
--- a/transport/serve.go
+++ b/transport/serve.go
@@ -151,6 +151,9 @@
 	c.mu.Lock()
 	c.state = discarding
 	c.mu.Unlock()
+	if c.discarding != nil {
+		c.discarding(why)
+	}
 	for c.owes() && !c.closeRequested() {
 		c.lookAgain(owedEvery)
 		if err := c.flush(); err != nil {
@@ -193,6 +196,7 @@
 // taken takes in that a whole message has come. A connection that was to end if idle
 // goes on with it.
 func (c *Conn) taken() {
+	c.end.Messages++
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.last, c.spoken = time.Now(), true
@@ -210,7 +214,7 @@
 // and could take the last answers away. It gives the error that it is called with.
 func (c *Conn) halfClose(reason EndReason, why error) error {
 	c.src.nowait = false
-	c.end.Reason, c.end.Partial, c.end.Owed = reason, c.r.Buffered(), c.owes()
+	c.end.Reason, c.end.Err, c.end.Partial, c.end.Owed = reason, why, c.r.Buffered(), c.owes()
 	if c.ending != nil {
 		c.ending(why)
 	}
@@ -250,6 +254,8 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.aborted = closed, true
+	c.end.Unsent += len(c.queue)
+	c.end.SinceActive = time.Since(c.last)
 	c.nc.Close()
 }
 
--- a/transport/write.go
+++ b/transport/write.go
@@ -32,15 +32,16 @@
 		out := c.queue
 		c.queue = nil
 		c.mu.Unlock()
-		if err := c.write(out); err != nil {
+		if unsent, err := c.write(out); err != nil {
+			c.end.Unsent += unsent
 			return fmt.Errorf("writing: %w", err)
 		}
 	}
 }
 
 // write writes all of p. What the system refuses for a moment is tried again, from
-// the byte on that was not written.
-func (c *Conn) write(p []byte) error {
+// the byte on that was not written. It returns how many bytes were not written.
+func (c *Conn) write(p []byte) (unsent int, err error) {
 	for attempts, passed := 0, 0; len(p) > 0; {
 		c.nc.SetWriteDeadline(time.Now().Add(writeAttempt))
 		n, err := c.nc.Write(p)
@@ -52,14 +53,14 @@
 		case err == nil:
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			if attempts++; attempts == writeAttempts {
-				return err
+				return len(p), err
 			}
 		case mayPass(err) && passed < maxPassing:
 			passed++
 			time.Sleep(passingPause)
 		default:
-			return err
+			return len(p), err
 		}
 	}
-	return nil
+	return 0, nil
 }
