--- a/internal/faultsoak/client.go
+++ b/internal/faultsoak/client.go
@@ -203,6 +203,18 @@
 	return nil
 }
 
+// NextSeq gives the number that the next call has. Where take is set that call is to be
+// written by WriteRaw, and the one after it has the next number.
+func (c *Client) NextSeq(take bool) int32 {
+	c.writing.Lock()
+	defer c.writing.Unlock()
+	next := c.seq + 1
+	if take {
+		c.seq = next
+	}
+	return next
+}
+
 func (c *Client) forget(seq int32) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/faultsoak/reproduction_test.go
+++ b/internal/faultsoak/reproduction_test.go
@@ -10,9 +10,9 @@
 	"quincerail.example/quincerail/internal/fleettest"
 )
 
-var binary string
+var builtProgram string
 
-func TestMain(m *testing.M) { os.Exit(fleettest.Main(m, &binary)) }
+func TestMain(m *testing.M) { os.Exit(fleettest.Main(m, &builtProgram)) }
 
 const connections = 16 // of a test of what connections lose
 
@@ -24,12 +24,18 @@
 }
 
 func newBench(t *testing.T) *bench {
+	t.Helper()
+	return newBenchOf(t, 5*time.Millisecond)
+}
+
+// newBenchOf makes a bench whose runs take a time.
+func newBenchOf(t *testing.T, took time.Duration) *bench {
 	t.Helper()
 	config, err := DefaultConfig()
 	if err != nil {
 		t.Fatal(err)
 	}
-	n, err := StartNode(NodeConfig{Name: "n1", Binary: binary, Dir: t.TempDir(), Config: config, Took: 5 * time.Millisecond})
+	n, err := StartNode(NodeConfig{Name: "n1", Binary: builtProgram, Dir: t.TempDir(), Config: config, Took: took})
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -90,12 +96,8 @@
 // one answer: also where the node ended it while the request was written.
 func (b *bench) allAnswered() {
 	b.Helper()
-	answers := 0
-	for _, n := range b.verdict().Outcomes {
-		answers += n
-	}
-	if answers != connections {
-		b.Errorf("%d answers to %d requests", answers, connections)
+	if n := answers(b.verdict()); n != connections {
+		b.Errorf("%d answers to %d requests", n, connections)
 	}
 }
 
--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -29,7 +29,7 @@
 
 // TestSoak has all faults but those of the system below.
 func TestSoak(t *testing.T) {
-	playSoak(t, SoakOptions{Seed: 1, Binary: binary})
+	playSoak(t, SoakOptions{Seed: 1, Binary: builtProgram})
 }
 
 // TestSoakWithSystemFaults has system calls fail and Unix time stepped beside.
--- a/internal/faultsoak/takeover_test.go
+++ b/internal/faultsoak/takeover_test.go
@@ -14,7 +14,7 @@
 		t.Fatal(err)
 	}
 	n, err := StartNode(NodeConfig{
-		Name: "n1", Binary: binary, Dir: t.TempDir(), Config: config, Took: 5 * time.Millisecond, Inherit: true,
+		Name: "n1", Binary: builtProgram, Dir: t.TempDir(), Config: config, Took: 5 * time.Millisecond, Inherit: true,
 	})
 	if err != nil {
 		t.Fatal(err)
