Take the messages behind a bad one, and answer what stands around it

Cause: thrift.Read and thriftConn.take gave an error for any message that made no sense, and Conn.discardInput then read and dropped all that came until nothing was owed. Change: package guard decides whether a connection goes on after input that is no message (MayGoOn): it does, up to bounds. thrift.Reader passes over a bad frame, or bytes until something begins as a message does; a call with a number of its own fails with an exception, numbers left out or had before no longer condemn what follows, oneway messages may count. The peer is told leaving, and the connection ends once it rests. Past the bounds all that is open is answered as failed and the connection ends at once. Tests: TestBadMessageKeepsOthersAnswers and TestSpoiltFrameKeepsOthers asserted the fault itself (nothing behind the bad message is taken); TestSkippedMessageKeepsOthers and TestBadMessageKeepsOthers want it answered. TestLostFramingEndsAtOnce is folded into TestBadMessageCostsNoOtherRequest, which now wants the requests behind such bytes answered too.

--- a/guard/doc.go
+++ b/guard/doc.go
@@ -11,6 +11,8 @@
 //   - a connection is not ended because a timer fired, but because its socket was read
 //     empty just now, nothing is owed on it, and its peer has known for long enough that
 //     nothing new is wanted ([MayEnd]);
+//   - a connection is not given up for a message that makes no sense: the requests before
+//     and behind it are still owed their answers ([MayGoOn]);
 //   - a run is not begun because a request says that it came in time, but because it
 //     was read before the grace ended, which was counted from the last moment at which
 //     the notice can't have come yet ([MayStart]);
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -29,6 +29,22 @@
 	}
 }
 
+func TestMayGoOn(t *testing.T) {
+	for name, x := range map[string]struct {
+		input Input
+		want  error
+	}{
+		"one bad message":   {Input{BadMessages: 1}, nil},
+		"as many as may be": {Input{BadMessages: MaxBadMessages, Dropped: MaxDropped}, nil},
+		"nothing else":      {Input{BadMessages: MaxBadMessages + 1}, ErrTooManyBad},
+		"no messages":       {Input{Dropped: MaxDropped + 1}, ErrNoMessages},
+	} {
+		if err := MayGoOn(x.input); !errors.Is(err, x.want) {
+			t.Errorf("%s: %v, want %v", name, err, x.want)
+		}
+	}
+}
+
 func TestMayStart(t *testing.T) {
 	for name, x := range map[string]struct {
 		start Start
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -16,8 +16,13 @@
 	queueLimit  = 512 << 10              // bytes a peer may leave unread before it is cut off
 	drainPeriod = 200 * time.Millisecond // for the peer to take in the end, after the half-close
 	owedEvery   = 250 * time.Millisecond // between two looks whether answers are still owed
+	skipNotice  = 100 * time.Millisecond // after a bad message, until a connection on which nothing else came ends
 )
 
+// ErrSkipped is given by a step that has passed over what is no message. The connection
+// takes those behind it, and ends soon where none comes and nothing is owed.
+var ErrSkipped = errors.New("no message: passed over")
+
 // ErrCutOff is why a connection ended whose peer stopped reading.
 var ErrCutOff = errors.New("peer stopped reading")
 
@@ -26,7 +31,6 @@
 // it may move on to closing is for package guard to decide.
 //
 //	open        messages are taken, what is queued is written
-//	discarding  what comes makes no sense and is dropped: it ends once nothing is owed
 //	closing     it ends once what is queued is written
 //	halfClosed  its writing end is shut; what still comes is read and dropped
 //	closed
@@ -34,7 +38,6 @@
 
 const (
 	open state = iota
-	discarding
 	closing
 	halfClosed
 	closed
@@ -76,7 +79,6 @@
 	owed        func() bool          // whether answers are still to go out
 	noticeLeft  func() time.Duration // until the peer has known for long enough that nothing new is wanted
 	ending      func(error)          // called before the last flush
-	discarding  func(error)          // called when messages are taken no more, while answers are owed
 	spoken      bool                 // a whole message has come
 	drainPeriod time.Duration        // that the peer has to end its side, after the half-close
 }
@@ -186,10 +188,6 @@
 // called before Serve.
 func (c *Conn) OnEnd(f func(error)) { c.ending = f }
 
-// OnDiscard has f called when the connection takes no more messages as one made no sense,
-// with that reason, while answers are still owed. It must be called before Serve.
-func (c *Conn) OnDiscard(f func(error)) { c.discarding = f }
-
 // Spoken tells whether a whole message has ever come.
 func (c *Conn) Spoken() bool {
 	c.mu.Lock()
--- a/transport/ending.go
+++ b/transport/ending.go
@@ -76,12 +76,6 @@
 	return err
 }
 
-// discard drops what is buffered, and counts it.
-func (c *Conn) discard() {
-	n, _ := c.r.Discard(c.r.Buffered()) // what is buffered can be discarded
-	c.end.Discarded += int64(n)
-}
-
 // PeerAddr is the peer's address.
 func (c *Conn) PeerAddr() string {
 	if addr := c.nc.RemoteAddr(); addr != nil {
--- a/transport/serve.go
+++ b/transport/serve.go
@@ -14,9 +14,9 @@
 // Serve calls step for each message until it fails, and writes what is queued
 // in between. A read that was interrupted for that fails with
 // os.ErrDeadlineExceeded, and the step is called again. So a step must be
-// resumable: it peeks, and discards once whole. After a message that makes no
-// sense none is taken any more, but what is owed by then is still answered. The
-// connection is half-closed, drained and closed when Serve returns.
+// resumable: it peeks, and discards once whole. What it can't take it passes over,
+// with ErrSkipped; any other error ends the connection. The connection is
+// half-closed, drained and closed when Serve returns.
 //
 // A deadline that has passed ends nothing by itself, as the process may have stood
 // still while a message came: the socket is read empty first, and package guard
@@ -39,13 +39,13 @@
 		switch {
 		case err == nil:
 			c.taken()
+		case errors.Is(err, ErrSkipped):
+			c.skipped()
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.examined = nowait && !c.src.failed()
 			if reason := c.decide(); reason != "" {
 				return c.halfClose(reason, endError(reason))
 			}
-		case c.src.err == nil && c.owes(): // the message makes no sense, and others are owed answers
-			return c.discardInput(c.reason(err), err)
 		default:
 			return c.halfClose(c.reason(err), err)
 		}
@@ -145,34 +145,6 @@
 
 func (c *Conn) owes() bool { return c.owed != nil && c.owed() }
 
-// discardInput reads and drops what comes until nothing is owed any more, then ends
-// the connection. It gives the error that it is called with.
-func (c *Conn) discardInput(reason EndReason, why error) error {
-	c.mu.Lock()
-	c.state = discarding
-	c.mu.Unlock()
-	if c.discarding != nil {
-		c.discarding(why)
-	}
-	for c.owes() && !c.closeRequested() {
-		c.lookAgain(owedEvery)
-		if err := c.flush(); err != nil {
-			return c.abort(err)
-		}
-		if _, err := c.r.Peek(1); err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
-			return c.halfClose(c.reason(err), err)
-		}
-		c.discard()
-	}
-	return c.halfClose(reason, why)
-}
-
-func (c *Conn) closeRequested() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.requested == closeNow
-}
-
 // expect waits for a message's first byte, from which on its time counts.
 func (c *Conn) expect() error {
 	if c.standsStill == 0 {
@@ -209,6 +181,16 @@
 	}
 }
 
+// skipped takes in that something was passed over which is no message.
+func (c *Conn) skipped() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.src.partAt, c.src.beganAt = time.Time{}, time.Time{}
+	if c.requested != drain {
+		c.deadline = time.Now().Add(skipNotice) // the next flush has the reads go by it
+	}
+}
+
 // halfClose writes what is queued, shuts the writing end and reads to the peer's
 // end, for a bounded time: a close over unread bytes would reset the connection
 // and could take the last answers away. It gives the error that it is called with.
