--- a/internal/faultsoak/disk_test.go
+++ b/internal/faultsoak/disk_test.go
@@ -14,19 +14,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	config, err := DefaultConfig()
-	if err != nil {
-		t.Fatal(err)
-	}
-	n, err := StartNode(NodeConfig{
-		Name: "n1", Binary: withFaults, Dir: t.TempDir(), Config: config, Took: 5 * time.Millisecond, Faults: true, Keys: true,
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(n.Close)
-	n.Ready()
-	return &bench{T: t, node: n}
+	return newBenchWith(t, NodeConfig{Binary: withFaults, Took: 5 * time.Millisecond, Faults: true, Keys: true})
 }
 
 const giftsEach = 8 // in each phase of a disk's trouble
--- a/internal/faultsoak/reproduction_test.go
+++ b/internal/faultsoak/reproduction_test.go
@@ -31,11 +31,18 @@
 // newBenchOf makes a bench whose runs take a time.
 func newBenchOf(t *testing.T, took time.Duration) *bench {
 	t.Helper()
-	config, err := DefaultConfig()
-	if err != nil {
+	return newBenchWith(t, NodeConfig{Binary: builtProgram, Took: took})
+}
+
+// newBenchWith makes a bench whose node has the default configuration.
+func newBenchWith(t *testing.T, config NodeConfig) *bench {
+	t.Helper()
+	config.Name, config.Dir = "n1", t.TempDir()
+	var err error
+	if config.Config, err = DefaultConfig(); err != nil {
 		t.Fatal(err)
 	}
-	n, err := StartNode(NodeConfig{Name: "n1", Binary: builtProgram, Dir: t.TempDir(), Config: config, Took: took})
+	n, err := StartNode(config)
 	if err != nil {
 		t.Fatal(err)
 	}
