End a connection for an error only if the error proves its end

Cause: transport listed the errors that may pass; any other, on one read or write, ended the connection with what was open on it, and filed that under the peer's doing. Change: guard.MayTryAgain lists the errors that prove an end instead, and bounds the failures in a row. A flush is given up after guard.MaxMessage (10 s, was 5 s) without progress, as a client may wait so long. Where poll can't tell whether connections wait to be accepted, they may.

--- a/guard/doc.go
+++ b/guard/doc.go
@@ -13,6 +13,8 @@
 //     nothing new is wanted ([MayEnd]);
 //   - a connection is not given up for a message that makes no sense: the requests before
 //     and behind it are still owed their answers ([MayGoOn]);
+//   - a connection is not taken for dead because one system call failed, but because its
+//     error proves that ([MayTryAgain]);
 //   - a run is not begun because a request says that it came in time, but because it
 //     was read before the grace ended, which was counted from the last moment at which
 //     the notice can't have come yet ([MayStart]);
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -2,7 +2,11 @@
 
 import (
 	"errors"
+	"io"
 	"log/slog"
+	"net"
+	"os"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -45,6 +49,27 @@
 	}
 }
 
+func TestMayTryAgain(t *testing.T) {
+	for name, x := range map[string]struct {
+		err      error
+		failures int
+		want     error
+	}{
+		"interrupted":          {syscall.EINTR, 1, nil},
+		"of a packet":          {os.NewSyscallError("write", syscall.EHOSTUNREACH), 1, nil},
+		"not known":            {syscall.EIO, MaxFailures, nil},
+		"again and again":      {syscall.EIO, MaxFailures + 1, ErrKeepFailing},
+		"reset":                {os.NewSyscallError("read", syscall.ECONNRESET), 1, ErrEnded},
+		"no longer there":      {syscall.EPIPE, 1, ErrEnded},
+		"the end":              {io.EOF, 1, ErrEnded},
+		"no system call's own": {net.ErrClosed, 1, ErrEnded},
+	} {
+		if err := MayTryAgain(x.err, x.failures); !errors.Is(err, x.want) {
+			t.Errorf("%s: %v, want %v", name, err, x.want)
+		}
+	}
+}
+
 func TestMayStart(t *testing.T) {
 	for name, x := range map[string]struct {
 		start Start
--- a/transport/backlog.go
+++ b/transport/backlog.go
@@ -7,13 +7,14 @@
 	"golang.org/x/sys/unix"
 )
 
-// hasWaiting reports whether connections wait in a listener's accept queue.
+// hasWaiting reports whether connections wait in a listener's accept queue. Where that can't
+// be told, they may.
 func hasWaiting(l net.Listener) bool {
 	waiting := false
 	control(l, func(fd int) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLIN}}
 		n, err := unix.Poll(fds, 0)
-		waiting = err == nil && n == 1 && fds[0].Revents&unix.POLLIN != 0
+		waiting = err != nil || n == 1 && fds[0].Revents&unix.POLLIN != 0
 	})
 	return waiting
 }
--- a/transport/source.go
+++ b/transport/source.go
@@ -7,14 +7,16 @@
 	"os"
 	"syscall"
 	"time"
+
+	"quincerail.example/quincerail/guard"
 )
 
 // source is where a connection's bytes come from. It belongs to its goroutine.
 type source struct {
-	nc     net.Conn
-	nowait bool  // only what has come is read
-	err    error // by which the stream ended
-	passed int   // errors in a row that may pass
+	nc       net.Conn
+	nowait   bool  // only what has come is read
+	err      error // by which the stream ended
+	failures int   // reads in a row that failed and are tried again
 
 	partial func() bool // a part of a message was read before
 	byteAt  time.Time   // when bytes last came; zero for never
@@ -43,12 +45,12 @@
 		s.readAt = time.Now()
 		s.byteAt = s.readAt
 	}
-	if mayPass(err) && s.passed < maxPassing {
-		s.passed++
-		time.Sleep(passingPause)
+	if err != nil && guard.MayTryAgain(err, s.failures+1) == nil {
+		s.failures++
+		time.Sleep(failurePause)
 		return n, os.ErrDeadlineExceeded
 	}
-	s.passed = 0
+	s.failures = 0
 	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
 		s.err = err
 	}
@@ -57,7 +59,7 @@
 
 // failed tells whether the last read failed with an error that may pass: it says nothing
 // of what has come.
-func (s *source) failed() bool { return s.passed > 0 }
+func (s *source) failed() bool { return s.failures > 0 }
 
 // readNow reads what has come on a socket whatever its deadline; a connection that
 // is no socket has none.
--- a/transport/write.go
+++ b/transport/write.go
@@ -5,14 +5,16 @@
 	"fmt"
 	"os"
 	"time"
+
+	"quincerail.example/quincerail/guard"
 )
 
 // A flush is given up after so many attempts in a row that write nothing. Each has a
 // deadline of its own: a process that stood still over one has not tried.
 const (
 	writeAttempt  = 500 * time.Millisecond
-	writeAttempts = 10
-	writeTimeout  = writeAttempts * writeAttempt
+	writeAttempts = int(guard.MaxMessage / writeAttempt) // a client may wait so long, and read then
+	writeTimeout  = guard.MaxMessage
 )
 
 // flush writes the queue and sets the deadline of the next read.
@@ -42,12 +44,12 @@
 // write writes all of p. What the system refuses for a moment is tried again, from
 // the byte on that was not written. It returns how many bytes were not written.
 func (c *Conn) write(p []byte) (unsent int, err error) {
-	for attempts, passed := 0, 0; len(p) > 0; {
+	for attempts, failures := 0, 0; len(p) > 0; {
 		c.nc.SetWriteDeadline(time.Now().Add(writeAttempt))
 		n, err := c.nc.Write(p)
 		p = p[n:]
 		if n > 0 {
-			attempts, passed = 0, 0
+			attempts, failures = 0, 0
 		}
 		switch {
 		case err == nil:
@@ -55,9 +57,9 @@
 			if attempts++; attempts == writeAttempts {
 				return len(p), err
 			}
-		case mayPass(err) && passed < maxPassing:
-			passed++
-			time.Sleep(passingPause)
+		case guard.MayTryAgain(err, failures+1) == nil:
+			failures++
+			time.Sleep(failurePause)
 		default:
 			return len(p), err
 		}
