Play noise between requests, crowds that ask, signals in series and clients that persist in the soak

Cause: the soak's one spoiling client sent noise as its last thing, its crowd said nothing, most clients obeyed leaving, SIGTERM came once, and a client that left after 15 s excused what it had open.

--- a/cmd/fault-soak/main.go
+++ b/cmd/fault-soak/main.go
@@ -23,13 +23,14 @@
 
 // command is the command line.
 type command struct {
-	First   uint64 `default:"1"  help:"First seed."`
-	Seeds   uint64 `default:"5"  help:"How many seeds to play, one after the other."`
-	Nodes   int    `default:"12" help:"Processes of the program at a time (10 to 40)."`
-	Seconds int    `default:"20" help:"How long faults are played for each seed."`
-	Binary  string `help:"The program; built from the source where it is not given."                type:"path"`
-	System  bool   `help:"Also have system calls fail and Unix time stepped; builds the program with the fault layer."`
-	Logs    string `help:"Folder for the logs of the nodes of seeds that broke a rule."             type:"path"`
+	First   uint64   `default:"1"  help:"First seed."`
+	Seeds   uint64   `default:"5"  help:"How many seeds to play, one after the other."`
+	Nodes   int      `default:"12" help:"Processes of the program at a time (10 to 40)."`
+	Seconds int      `default:"20" help:"How long faults are played for each seed."`
+	Binary  string   `help:"The program; built from the source where it is not given."                type:"path"`
+	System  bool     `help:"Also have system calls fail and Unix time stepped; builds the program with the fault layer."`
+	Without []string `help:"Kinds of clients to leave out, so as to tell causes apart."`
+	Logs    string   `help:"Folder for the logs of the nodes of seeds that broke a rule."             type:"path"`
 }
 
 func main() {
@@ -68,7 +69,7 @@
 	for seed := c.First; seed < c.First+c.Seeds; seed++ {
 		result, err := faultsoak.Soak(ctx, faultsoak.SoakOptions{
 			Seed: seed, Nodes: c.Nodes, Duration: time.Duration(c.Seconds) * time.Second, Binary: c.Binary,
-			Dir: filepath.Join(dir, fmt.Sprint(seed)), Faults: c.System,
+			Dir: filepath.Join(dir, fmt.Sprint(seed)), Faults: c.System, Without: c.Without,
 		})
 		if err != nil {
 			return broken, err
--- a/internal/faultsoak/client.go
+++ b/internal/faultsoak/client.go
@@ -85,7 +85,8 @@
 	c.open[c.seq] = r
 	c.mu.Unlock()
 	c.history.addRequest(r)
-	message := c.message(a, door)
+	r.ID = standin.NewID()
+	message := c.message(a, r.ID, door)
 	var began time.Time
 	write := func(p []byte) error {
 		began = time.Now()
@@ -107,9 +108,9 @@
 	return r, nil
 }
 
-func (c *Client) message(a Ask, door time.Time) []byte {
+func (c *Client) message(a Ask, id string, door time.Time) []byte {
 	fields := map[string]string{
-		"verb": a.Class, "txn": standin.NewID(), "lb": "1", "ram": "20", "standing": "0.5",
+		"verb": a.Class, "txn": id, "lb": "1", "ram": "20", "standing": "0.5",
 	}
 	if a.Key != "" {
 		fields["unique"] = a.Key
@@ -186,6 +187,15 @@
 	<-c.done
 }
 
+// Reset ends the connection at once, with what is open on it.
+func (c *Client) Reset() {
+	c.mu.Lock()
+	c.closed = true
+	c.mu.Unlock()
+	reset(c.conn)
+	<-c.done
+}
+
 // CloseWrite shuts the writing end only.
 func (c *Client) CloseWrite() {
 	if tcp, ok := c.conn.(*net.TCPConn); ok {
--- a/internal/faultsoak/clients.go
+++ b/internal/faultsoak/clients.go
@@ -45,6 +45,13 @@
 	{"newcomer", newcomer},
 	{"newcomer", newcomer},
 	{"stubborn", stubborn},
+	{"persistent", persistent},
+	{"persistent", persistent},
+	{"knocking", knocking},
+	{"knocking", knocking},
+	{"noisy", noisy},
+	{"noisy", noisy},
+	{"borrowing", borrowing},
 	{"half-closing", halfClosing},
 	{"giving up", givingUp},
 	{"spoiling", spoiling},
@@ -53,17 +60,24 @@
 // run has one client connect again and again until ctx ends.
 func (p *population) run(ctx context.Context, do behaviour, rng *rand.Rand) {
 	for ctx.Err() == nil {
-		c, err := Dial(p.history, p.node.Name, p.node.Address)
-		if err != nil {
+		if !p.once(ctx, do, rng) {
 			pause(ctx, redialPause)
-			continue
 		}
-		do(ctx, p, c, rng)
-		c.awaitAnswers()
-		c.Close()
 	}
 }
 
+// once has one client connect once. It reports whether it was let in.
+func (p *population) once(ctx context.Context, do behaviour, rng *rand.Rand) bool {
+	c, err := Dial(p.history, p.node.Name, p.node.Address)
+	if err != nil {
+		return false
+	}
+	do(ctx, p, c, rng)
+	c.awaitAnswers()
+	c.Close()
+	return true
+}
+
 // pause waits. It reports whether ctx goes on.
 func pause(ctx context.Context, d time.Duration) bool {
 	select {
--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -27,6 +27,8 @@
 type operator struct {
 	node    *Node
 	history *History
+	clients *population
+	crowds  bool                             // of clients that ask
 	fail    func(format string, args ...any) // a step that must succeed did not
 
 	configuring sync.Mutex // the configuration file may be spoilt
@@ -60,12 +62,18 @@
 	{2 * time.Second, 8 * time.Second, []fault{crowd}},
 }
 
+// crowdLoop is what a node suffers beside where there are crowds.
+var crowdLoop = faultLoop{time.Second, 4 * time.Second, []fault{askingCrowd}}
+
 // play starts all loops of a node. They end with ctx.
 func (o *operator) play(ctx context.Context, rngs func() *rand.Rand, done *sync.WaitGroup) {
 	loops := faultLoops
 	if o.node.Faults {
 		loops = append(slices.Clone(loops), systemLoop)
 	}
+	if o.crowds {
+		loops = append(slices.Clone(loops), crowdLoop)
+	}
 	for _, loop := range loops {
 		rng := rngs()
 		done.Go(func() {
@@ -113,22 +121,65 @@
 	o.expected, o.killAt = ended, killAt
 }
 
-// restart drains the process, kills it when the platform would, and starts another.
-func restart(_ context.Context, o *operator, _ *rand.Rand) {
+// restart drains the process, kills it when the platform would, and starts another. The
+// notice may be one of a series of signals, and the new process may get its own right away.
+func restart(ctx context.Context, o *operator, rng *rand.Rand) {
+	for range 1 + rng.IntN(2) {
+		if !o.restartOnce(ctx, rng) || rng.IntN(2) == 0 {
+			return
+		}
+		if !pause(ctx, between(rng, 0, 400*time.Millisecond)) {
+			return
+		}
+	}
+}
+
+// restartOnce reports whether the new process listens.
+func (o *operator) restartOnce(ctx context.Context, rng *rand.Rand) (listens bool) {
+	process := o.node.process()
+	o.signalSeries(ctx, process, rng)
 	notice := time.Now()
 	o.expect(true, notice.Add(LongestStop))
 	o.history.Add(Event{Node: o.node.Name, Kind: Terminated, At: notice})
-	byItself, err := o.node.process().stop()
+	byItself, err := process.stop()
 	switch {
 	case err != nil:
 		o.fail("%v", err)
-		return
+		return false
 	case byItself:
 		o.record(Exited)
 	default:
 		o.record(Killed)
 	}
-	o.launch()
+	return o.launch()
+}
+
+// signalSeries sends signals to a process that is about to be told to stop: one before, and
+// others beside until it has ended.
+func (o *operator) signalSeries(ctx context.Context, process *process, rng *rand.Rand) {
+	series := []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM, syscall.SIGCONT}
+	if rng.IntN(2) == 0 {
+		return
+	}
+	if rng.IntN(2) == 0 {
+		_ = process.signal(syscall.SIGHUP) // it may have ended
+	}
+	seed := rng.Uint64()
+	go func() {
+		o.record(Signalled)
+		draws := rand.New(rand.NewPCG(seed, 0))
+		for range 1 + draws.IntN(6) {
+			if !pause(ctx, between(draws, 2*time.Millisecond, 900*time.Millisecond)) {
+				return
+			}
+			select {
+			case <-process.done():
+				return
+			default:
+			}
+			_ = process.signal(series[draws.IntN(len(series))]) // likewise
+		}
+	}()
 }
 
 // upgrade has a new process take over. A node whose processes inherit no socket is
@@ -160,15 +211,16 @@
 	o.launch()
 }
 
-func (o *operator) launch() {
+func (o *operator) launch() (listens bool) {
 	o.configuring.Lock()
 	defer o.configuring.Unlock()
 	if err := o.node.Launch(); err != nil {
 		o.fail("%v", err)
-		return
+		return false
 	}
 	o.record(Restarted)
 	o.expect(false, time.Time{})
+	return true
 }
 
 // watch reports a process that ends though nobody ended it.
@@ -341,3 +393,14 @@
 		}
 	}
 }
+
+// askingCrowd has many clients come at a time, ask and stay for a while.
+func askingCrowd(ctx context.Context, o *operator, rng *rand.Rand) {
+	o.record(Crowded)
+	var clients sync.WaitGroup
+	for range crowdSize/2 + rng.IntN(crowdSize/2) {
+		draws := rand.New(rand.NewPCG(rng.Uint64(), 0))
+		clients.Go(func() { o.clients.once(ctx, asking, draws) })
+	}
+	clients.Wait()
+}
--- a/internal/faultsoak/history.go
+++ b/internal/faultsoak/history.go
@@ -31,6 +31,7 @@
 // Request is one try of a request as its client saw it.
 type Request struct {
 	Node     string
+	ID       string // its field txn
 	Conn     *ConnRecord
 	Seq      int32
 	Class    string
@@ -81,6 +82,7 @@
 	AnnounceBad  EventKind = "announce"
 	Reloaded     EventKind = "reload"
 	Crowded      EventKind = "crowd"
+	Signalled    EventKind = "signals" // in a series
 	SystemBad    EventKind = "system"
 )
 
@@ -112,6 +114,16 @@
 	h.events = append(h.events, e)
 }
 
+// recent gives the id of a request that came not long ago; "" before there is one.
+func (h *History) recent(back int) string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if len(h.requests) <= back {
+		return ""
+	}
+	return h.requests[len(h.requests)-1-back].ID
+}
+
 // update changes a record under the history's lock.
 func (h *History) update(change func()) {
 	h.mu.Lock()
--- a/internal/faultsoak/oracle.go
+++ b/internal/faultsoak/oracle.go
@@ -98,23 +98,32 @@
 	if r.Written.IsZero() || r.GivenUp {
 		return
 	}
+	if late := a.At.Sub(c.lastMoment(r)) - c.pausedWithin(r.Node, r.Door, a.At); late > 0 {
+		message := fmt.Sprintf("%q was answered %v late", r.Body, late)
+		c.report.Late = append(c.report.Late, Violation{Rule: "late", Node: r.Node, At: a.At, Message: message})
+	}
+}
+
+// lastMoment is by when a request is to be answered, its node's pauses aside.
+func (c *check) lastMoment(r *Request) time.Time {
 	due := r.Door.Add(r.Deadline)
 	if r.Written.After(due) {
 		due = r.Written // never before it could be read
 	}
-	due = due.Add(c.terms.AnswerSlack + socketSlack + machineSlack)
-	if late := a.At.Sub(due) - c.pausedWithin(r.Node, r.Door, a.At); late > 0 {
-		message := fmt.Sprintf("%q was answered %v late", r.Body, late)
-		c.report.Late = append(c.report.Late, Violation{Rule: "late", Node: r.Node, At: a.At, Message: message})
-	}
+	return due.Add(c.terms.AnswerSlack + socketSlack + machineSlack)
 }
 
 // unanswered tells a lost request from one that nobody owes an answer.
 func (c *check) unanswered(r *Request) {
 	conn := r.Conn
 	switch {
-	case r.Written.IsZero() || r.GivenUp || conn.End == EndedByClient:
+	case r.Written.IsZero() || r.GivenUp:
+		c.report.Excused++
+	case conn.End == EndedByClient && conn.EndedAt.Before(c.lastMoment(r)):
 		c.report.Excused++
+	case conn.End == EndedByClient:
+		c.violate("lost", r.Node, r.Written, "%q had no answer in %v, when its client left", r.Body,
+			conn.EndedAt.Sub(r.Written).Round(time.Millisecond))
 	case conn.End == StillOpen:
 		c.violate("lost", r.Node, r.Written, "%q has no answer on an open connection", r.Body)
 	case c.crashedBetween(r.Node, r.LastWriteBegan, conn.EndedAt):
--- a/internal/faultsoak/soak.go
+++ b/internal/faultsoak/soak.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -22,8 +23,19 @@
 	Dir      string
 	Env      []string
 	Faults   bool // Binary is of a build with faults
+	// Without names kinds of clients that are left out, so as to tell causes apart.
+	Without []string
 }
 
+// crowdEvery is of how many seeds one has crowds of clients that ask.
+const crowdEvery = 3
+
+func (opt SoakOptions) crowded() bool { return opt.Seed%crowdEvery == 0 }
+
+// stopTimes are what stop_ms is, by seed: longer than the platform waits at the least, or
+// shorter.
+var stopTimes = []int{6000, 3300, 1900}
+
 // SoakResult is what a soak found.
 type SoakResult struct {
 	Report
@@ -75,12 +87,15 @@
 			draws++
 			return rand.New(rand.NewPCG(opt.Seed, uint64(i)<<16|draws))
 		}
-		o := &operator{node: n, history: &s.history, fail: s.fail}
+		p := &population{node: n, history: &s.history, serial: &s.serial, unanswered: make(chan Ask, maxUnanswered)}
+		o := &operator{node: n, history: &s.history, clients: p, crowds: opt.crowded(), fail: s.fail}
 		go o.watch(faults)
 		o.play(faults, rngs, &operators)
-		p := &population{node: n, history: &s.history, serial: &s.serial, unanswered: make(chan Ask, maxUnanswered)}
 		for _, b := range behaviours {
 			rng := rngs()
+			if slices.Contains(opt.Without, b.name) {
+				continue
+			}
 			clients.Go(func() { p.run(asking, b.do, rng) })
 		}
 	}
@@ -106,6 +121,7 @@
 	if err != nil {
 		return nil, err
 	}
+	config["stop_ms"] = stopTimes[s.opt.Seed/crowdEvery%uint64(len(stopTimes))]
 	for i := range s.opt.Nodes {
 		name := fmt.Sprintf("n%d", i+1)
 		dir := filepath.Join(s.opt.Dir, name)
