Bound what a peer costs that has sent nothing but bad messages

Change: a connection takes as many bad messages as good ones came, and one more; one on which no good one came ends when 4 KiB in a row are none, with no notice; the search goes by bytes.Index.

--- a/guard/input.go
+++ b/guard/input.go
@@ -9,16 +9,20 @@
 )
 
 // A connection takes messages in spite of bad ones up to these bounds, so that a peer
-// which sends nothing else is not read for ever.
+// which sends nothing else is not read for ever: as many bad ones as good ones came, and
+// some more.
 const (
-	MaxBadMessages = 64
-	MaxDropped     = 64 << 10 // bytes in a row in which no message begins
+	MaxBadMessages   = 64
+	FirstBadMessages = 1
+	MaxDropped       = 64 << 10 // bytes in a row in which no message begins
+	FirstDropped     = 4 << 10  // likewise, where no good message has come
 )
 
 // Input is what the owner of a connection knows of input that is no message it can take.
 type Input struct {
-	BadMessages int // on the connection so far
-	Dropped     int // bytes in a row in which no message began
+	GoodMessages int // on the connection so far
+	BadMessages  int // likewise
+	Dropped      int // bytes in a row in which no message began
 }
 
 // MayGoOn decides whether a connection goes on taking messages after one that it can't
@@ -27,9 +31,9 @@
 // connection ends, so that nothing more is written to it.
 func MayGoOn(input Input) error {
 	switch {
-	case input.BadMessages > MaxBadMessages:
+	case input.BadMessages > min(FirstBadMessages+input.GoodMessages, MaxBadMessages):
 		return ErrTooManyBad
-	case input.Dropped > MaxDropped:
+	case input.Dropped > MaxDropped, input.GoodMessages == 0 && input.Dropped > FirstDropped:
 		return ErrNoMessages
 	}
 	return nil
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -86,7 +86,8 @@
 // endLevel is the level at which a connection's end is logged.
 func endLevel(end transport.Ending, lost int) slog.Level {
 	switch {
-	case lost == 0 && end.Partial == 0 && end.Discarded == 0 && end.Unsent == 0:
+	case lost == 0 && end.Partial == 0 && end.Discarded == 0 && end.Unsent == 0,
+		end.Reason == transport.BadMessage && end.Messages == 0: // there never was one
 		return slog.LevelDebug
 	case end.Reason == transport.PeerClosed, end.Reason == transport.PeerFailed:
 		return slog.LevelInfo
--- a/program/thriftconn.go
+++ b/program/thriftconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"fmt"
 	"log/slog"
@@ -35,6 +36,7 @@
 	// Of the connection's goroutine alone.
 	reader   thrift.Reader
 	sequence sequence
+	good     int // messages that were taken
 	bad      int // messages that made no sense
 
 	// What is open is forgotten under the lock under which its answer is sent, so
@@ -76,12 +78,12 @@
 
 // input is what package guard is asked about.
 func (t *thriftConn) input() guard.Input {
-	return guard.Input{BadMessages: t.bad, Dropped: t.reader.Scanned()}
+	return guard.Input{GoodMessages: t.good, BadMessages: t.bad, Dropped: t.reader.Scanned()}
 }
 
 // passOver takes in a message that makes no sense. Its call fails, if it is one with a
-// number of its own. The peer is told that nothing new is wanted on the connection, and
-// what still comes on it is taken as ever.
+// number of its own. A peer of which good ones came is told that nothing new is wanted on
+// the connection; what still comes on it is taken as ever.
 func (t *thriftConn) passOver(head *thrift.Head, turn turn, why error) error {
 	t.bad++
 	if err := guard.MayGoOn(t.input()); err != nil {
@@ -90,11 +92,17 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.monitor.Denied(guard.LostRequest, why, "")
-	t.log.Info("message_skipped", "peer", t.conn.PeerAddr(), "error", why.Error(), "open_requests", len(t.open))
+	level := slog.LevelDebug
+	if t.bad == 1 && t.good > 0 {
+		level = slog.LevelInfo
+	}
+	t.log.Log(context.Background(), level, "message_skipped", "peer", t.conn.PeerAddr(), "error", why.Error(), "open_requests", len(t.open))
 	if head != nil && head.Type == thrift.Call && turn != repeated {
 		t.conn.Send(thrift.AppendException(nil, head.Name, head.Seq, thrift.ProtocolError, why.Error()))
 	}
-	t.notifyLocked()
+	if t.good > 0 {
+		t.notifyLocked()
+	}
 	return transport.ErrSkipped
 }
 
@@ -121,6 +129,7 @@
 	} else if turn := t.sequence.call(m.Seq); turn != inTurn {
 		return t.passOver(&m.Head, turn, fmt.Errorf("%w: sequence number %d after %d", thrift.ErrBroken, m.Seq, t.sequence.highest))
 	}
+	t.good++
 	switch {
 	case m.Name == "execute" && m.Type == thrift.Call:
 		if err := t.execute(m); err != nil {
@@ -281,8 +290,12 @@
 }
 
 // notify tells the peer, once, that no new request is wanted on the connection, and
-// returns for how long it is still to be waited for.
+// returns for how long it is still to be waited for. A peer of which nothing but bad
+// messages came is told nothing. It is called by the connection's goroutine.
 func (t *thriftConn) notify() time.Duration {
+	if t.bad > 0 && t.good == 0 {
+		return 0
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.notifyLocked()
--- a/protocol/thrift/reader.go
+++ b/protocol/thrift/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -170,12 +171,38 @@
 	return nil
 }
 
+// beginnings are the first bytes of messages behind the frame's size, up to the version's
+// type of message and the method's name.
+var beginnings = func() (all [][]byte) {
+	for _, name := range []string{"execute", "check", "interrupt"} {
+		for _, kind := range []MessageType{Call, Oneway} {
+			all = append(all, appendBytes([]byte{strictVersion >> 24, strictVersion >> 16 & 0xff, 0, byte(kind)}, []byte(name)))
+		}
+	}
+	return all
+}()
+
+// sizeBytes is how many bytes a frame's size has.
+const sizeBytes = 4
+
 // findMessage looks for the first bytes that begin as a message does. It returns how many
 // bytes before them can be dropped, and whether all of that beginning is there.
 func findMessage(p []byte) (drop int, found bool) {
-	for i := range p {
-		if whole, begins := beginsMessage(p[i:]); begins {
-			return i, whole
+	version := beginnings[0][:3] // the same for all
+	for from := sizeBytes; from < len(p); {
+		i := bytes.Index(p[from:], version)
+		if i < 0 {
+			break
+		}
+		at := from + i - sizeBytes
+		if whole, begins := beginsMessage(p[at:]); begins {
+			return at, whole
+		}
+		from += i + 1
+	}
+	for at := max(0, len(p)-sizeBytes-len(version)+1); at < len(p); at++ { // the version may be yet to come
+		if whole, begins := beginsMessage(p[at:]); begins {
+			return at, whole
 		}
 	}
 	return len(p), false
@@ -184,30 +211,23 @@
 // beginsMessage tells whether bytes begin as a message does, as far as they go, and whether
 // they go far enough to tell.
 func beginsMessage(p []byte) (whole, begins bool) {
-	if !sizeBegins(p) {
+	var size [sizeBytes]byte
+	copy(size[:], p)
+	if binary.BigEndian.Uint32(size[:]) > maxFrame {
 		return false, false
 	}
-	for _, name := range []string{"execute", "check", "interrupt"} {
-		for _, kind := range []MessageType{Call, Oneway} {
-			start := []byte{0, 0, 0, 0, strictVersion >> 24, strictVersion >> 16 & 0xff, 0, byte(kind)}
-			start = appendBytes(start, []byte(name))
-			n := min(len(p), len(start))
-			if string(p[min(4, n):n]) == string(start[min(4, n):n]) {
-				return n == len(start), true
-			}
+	behind := p[min(sizeBytes, len(p)):]
+	for _, beginning := range beginnings {
+		if bytes.HasPrefix(behind, beginning) {
+			return true, true
+		}
+		if bytes.HasPrefix(beginning, behind) {
+			return false, true
 		}
 	}
 	return false, false
 }
 
-// sizeBegins tells whether bytes may be the size of a frame that is allowed, as far as they
-// go.
-func sizeBegins(p []byte) bool {
-	var size [4]byte
-	copy(size[:], p)
-	return binary.BigEndian.Uint32(size[:]) <= maxFrame
-}
-
 // parse reads a frame. headRead tells whether the message's head was there, whatever the
 // error.
 func parse(frame []byte) (m *Message, headRead bool, err error) {
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -16,7 +16,7 @@
 	queueLimit  = 512 << 10              // bytes a peer may leave unread before it is cut off
 	drainPeriod = 200 * time.Millisecond // for the peer to take in the end, after the half-close
 	owedEvery   = 250 * time.Millisecond // between two looks whether answers are still owed
-	skipNotice  = 100 * time.Millisecond // after a bad message, until a connection on which nothing else came ends
+	skipNotice  = 20 * time.Millisecond  // after what was skipped, until a connection that rests is asked to end
 )
 
 // ErrSkipped is given by a step that has passed over what is no message. The connection
