--- a/guard/input.go
+++ b/guard/input.go
@@ -13,7 +13,7 @@
 // some more.
 const (
 	MaxBadMessages   = 64
-	FirstBadMessages = 1
+	FirstBadMessages = 2
 	MaxDropped       = 64 << 10 // bytes in a row in which no message begins
 	FirstDropped     = 4 << 10  // likewise, where no good message has come
 )
--- a/internal/faultsoak/client.go
+++ b/internal/faultsoak/client.go
@@ -78,14 +78,13 @@
 	c.seq++
 	door := time.Now().Add(-a.DoorEarly)
 	r := &Request{
-		Node: c.record.Node, Conn: c.record, Seq: c.seq, Class: a.Class, Key: a.Key, Body: a.Body,
+		Node: c.record.Node, ID: standin.NewID(), Conn: c.record, Seq: c.seq, Class: a.Class, Key: a.Key, Body: a.Body,
 		Deadline: a.Deadline, Door: door,
 	}
 	c.mu.Lock()
 	c.open[c.seq] = r
 	c.mu.Unlock()
 	c.history.addRequest(r)
-	r.ID = standin.NewID()
 	message := c.message(a, r.ID, door)
 	var began time.Time
 	write := func(p []byte) error {
--- a/internal/faultsoak/process.go
+++ b/internal/faultsoak/process.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"maps"
+	"net"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,11 +64,19 @@
 	return p, nil
 }
 
-// freeAddress finds an address on loopback that a process may listen on.
+// lastHost numbers the loopback addresses that were given to processes.
+var lastHost atomic.Uint32
+
+// freeAddress finds an address on loopback that a process may listen on, now and after a
+// restart. Its host is no other's, so that no connection gets its port meanwhile.
 func freeAddress() (string, error) {
-	listener, err := listenAnywhere()
+	const hosts = 250 // in the last byte
+	n := lastHost.Add(1)
+	host := fmt.Sprintf("127.%d.%d.%d", 1+os.Getpid()%hosts, 1+n/hosts%hosts, 1+n%hosts)
+	var config net.ListenConfig
+	listener, err := config.Listen(context.Background(), "tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
-		return "", err
+		return "", fmt.Errorf("faultsoak: %w", err)
 	}
 	defer func() { _ = listener.Close() }() // the process takes the port
 	return listener.Addr().String(), nil
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -16,7 +16,7 @@
 	queueLimit  = 512 << 10              // bytes a peer may leave unread before it is cut off
 	drainPeriod = 200 * time.Millisecond // for the peer to take in the end, after the half-close
 	owedEvery   = 250 * time.Millisecond // between two looks whether answers are still owed
-	skipNotice  = 20 * time.Millisecond  // after what was skipped, until a connection that rests is asked to end
+	skipNotice  = 50 * time.Millisecond  // after what was skipped, until a connection that rests is asked to end
 )
 
 // ErrSkipped is given by a step that has passed over what is no message. The connection
