--- a/internal/faultsoak/faults.go
+++ b/internal/faultsoak/faults.go
@@ -164,7 +164,7 @@
 	if rng.IntN(2) == 0 {
 		_ = process.signal(syscall.SIGHUP) // it may have ended
 	}
-	seed := rng.Uint64()
+	seed, exited := rng.Uint64(), process.done()
 	go func() {
 		o.record(Signalled)
 		draws := rand.New(rand.NewPCG(seed, 0))
@@ -173,7 +173,7 @@
 				return
 			}
 			select {
-			case <-process.done():
+			case <-exited: // it may have been started anew
 				return
 			default:
 			}
--- a/internal/faultsoak/reproduction_test.go
+++ b/internal/faultsoak/reproduction_test.go
@@ -38,9 +38,8 @@
 func newBenchWith(t *testing.T, config NodeConfig) *bench {
 	t.Helper()
 	config.Name, config.Dir = "n1", t.TempDir()
-	var err error
-	if config.Config, err = DefaultConfig(); err != nil {
-		t.Fatal(err)
+	if config.Config == nil {
+		config.Config = defaultConfig(t)
 	}
 	n, err := StartNode(config)
 	if err != nil {
@@ -51,6 +50,15 @@
 	return &bench{T: t, node: n}
 }
 
+func defaultConfig(t *testing.T) map[string]any {
+	t.Helper()
+	config, err := DefaultConfig()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return config
+}
+
 func (b *bench) dial() *Client {
 	b.Helper()
 	c, err := Dial(&b.history, b.node.Name, b.node.Address)
