End a drained process once nothing it took is left, not when a timer says so

Cause: Drain ended by timers of wall time (closeMargin, exitMargin); a process that stood still over them closed its listener over waiting connections and exited over unread ones when it went on. Change: guard.MayExit decides, by what is left: connections that wait to be accepted, ones whose sockets were not read empty or whose answers are not written, unanswered requests. Connections that are let in while others end are ended too. The listener closes once its queue is empty. A hand-over ends the same way. Event exit_put_off. A check is replaced: the program counted a lost request where answers were owed as it ended a connection, though these fail with a written answer; now where that could not be written, whoever ended it but for a reset by the peer.

--- a/guard/doc.go
+++ b/guard/doc.go
@@ -15,6 +15,8 @@
 //     and behind it are still owed their answers ([MayGoOn]);
 //   - a connection is not taken for dead because one system call failed, but because its
 //     error proves that ([MayTryAgain]);
+//   - a process does not end because the moment has come for which that was planned, but
+//     because nothing that it has taken is left ([MayExit]);
 //   - a run is not begun because a request says that it came in time, but because it
 //     was read before the grace ended, which was counted from the last moment at which
 //     the notice can't have come yet ([MayStart]);
--- a/guard/guard_test.go
+++ b/guard/guard_test.go
@@ -51,6 +51,24 @@
 	}
 }
 
+func TestMayExit(t *testing.T) {
+	for name, x := range map[string]struct {
+		exit   Exit
+		reason KeptFor
+	}{
+		"all is answered":  {Exit{Looks: 1}, Nothing},
+		"someone connects": {Exit{Connecting: 1, Open: 1}, ConnectionsWait},
+		"unread":           {Exit{Open: 1, Unanswered: 1}, OpenConnections},
+		"unanswered":       {Exit{Unanswered: 1}, OwedAnswers},
+		"for ever":         {Exit{Connecting: 1, Open: 1, Unanswered: 1, Looks: maxExitLooks}, Nothing},
+	} {
+		reason, again := MayExit(x.exit)
+		if reason != x.reason || (again > 0) != (reason != Nothing) {
+			t.Errorf("%s: %q after %v, want %q", name, reason, again, x.reason)
+		}
+	}
+}
+
 func TestMayTryAgain(t *testing.T) {
 	for name, x := range map[string]struct {
 		err      error
--- a/program/drain.go
+++ b/program/drain.go
@@ -1,6 +1,7 @@
 package program
 
 import (
+	"sync"
 	"time"
 
 	"quincerail.example/quincerail/guard"
@@ -13,7 +14,8 @@
 //	refusing  none is let in any more, and what comes over open connections is
 //	          turned away. Until callers have closed them, or all must be answered.
 //	closing   connections are half-closed and read to their end, those first that
-//	          rest. Until the process is about to be killed.
+//	          rest. Until the process is about to be killed, and later where anything
+//	          is left that package guard has it stay for: it may have stood still.
 //
 // Where the listening socket is another's too, none is refused: a refused connection
 // proves that nothing ran, and here it would be let in by nobody. So callers are let
@@ -46,10 +48,8 @@
 		answered = time.After(0) // the next phase is over at once
 	}
 	s.phase("refusing")
-	for i, d := range s.doors {
-		if i > 0 || s.handover == nil {
-			go d.server.Shut() // until all that has connected is let in, or it is closed
-		}
+	shut := s.shut()
+	for _, d := range s.doors {
 		d.front.refuseLate()
 	}
 	empty := s.empty()
@@ -57,18 +57,80 @@
 	case <-empty:
 	case <-answered:
 		s.phase("closing")
-		for _, d := range s.doors {
-			d.server.Close()
-			d.front.finish(stopAt.Add(-lastMargin))
+		if s.handover != nil {
+			s.doors[0].server.Close()
 		}
-		select {
-		case <-empty:
-		case <-time.After(time.Until(stopAt.Add(-exitMargin))):
-			s.stopped("open")
-			return
+	}
+	s.endConnections(stopAt, shut, empty)
+}
+
+// shut has all doors but one whose socket is another's too let in what has connected, and
+// close. The channel is closed once they have.
+func (s *Server) shut() <-chan struct{} {
+	var closing sync.WaitGroup
+	for i, d := range s.doors {
+		if i > 0 || s.handover == nil {
+			closing.Go(d.server.Shut)
 		}
 	}
-	s.stopped("closed")
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		closing.Wait()
+	}()
+	return done
+}
+
+// endConnections ends what is open, by the moment at which the process is to end, or later
+// where package guard has it stay. connected is closed once none waits to be let in, done
+// once nothing is open any more.
+func (s *Server) endConnections(stopAt time.Time, connected, done <-chan struct{}) {
+	for _, d := range s.doors {
+		d.front.finish(stopAt.Add(-lastMargin))
+	}
+	planned := time.After(time.Until(stopAt.Add(-exitMargin)))
+	select {
+	case <-done:
+		s.stopped("closed")
+		return
+	case <-planned:
+	}
+	for looks := 0; ; looks++ {
+		reason, again := guard.MayExit(s.exitFacts(connected, looks))
+		if reason == guard.Nothing {
+			break
+		}
+		if looks == 0 {
+			s.log.Info("exit_put_off", "reason", string(reason), "past_end", time.Since(stopAt).Round(time.Millisecond).String())
+		}
+		time.Sleep(again)
+	}
+	for _, d := range s.doors {
+		d.server.Close()
+	}
+	select {
+	case <-done:
+		s.stopped("closed")
+	default:
+		s.stopped("open")
+	}
+}
+
+// exitFacts is what counts for ending the process.
+func (s *Server) exitFacts(connected <-chan struct{}, looks int) guard.Exit {
+	facts := guard.Exit{Looks: looks}
+	select {
+	case <-connected:
+	default:
+		facts.Connecting = 1
+	}
+	for _, d := range s.doors {
+		facts.Open += d.front.unended()
+	}
+	if facts.Open == 0 { // else some of them are not read yet
+		facts.Unanswered = s.unanswered()
+	}
+	return facts
 }
 
 // phase logs that a drain enters a phase.
@@ -155,7 +217,7 @@
 		<-empty
 		<-settled
 	}()
-	answered, last := time.After(time.Until(stopAt.Add(-closeMargin))), time.After(time.Until(stopAt.Add(-exitMargin)))
+	answered := time.After(time.Until(stopAt.Add(-closeMargin)))
 	for again := time.Tick(leaveAgain); ; {
 		for _, d := range s.doors {
 			d.front.leave() // also of connections that were let in last
@@ -164,16 +226,17 @@
 		case <-again:
 			continue
 		case <-answered:
-			for _, d := range s.doors {
-				d.front.finish(stopAt.Add(-lastMargin))
-			}
-			continue
+			s.endConnections(stopAt, closedChannel(), done)
 		case <-done:
 			s.stopped("closed")
-		case <-last:
-			s.stopped("open")
 		}
 		break
 	}
 	p.leave()
 }
+
+func closedChannel() <-chan struct{} {
+	closed := make(chan struct{})
+	close(closed)
+	return closed
+}
--- a/program/program.go
+++ b/program/program.go
@@ -54,6 +54,7 @@
 	leave()              // the notice has come: callers are told
 	refuseLate()         // the grace is over
 	finish(by time.Time) // all is answered: connections end, at the latest at a time
+	unended() int        // connections that have not ended since
 }
 
 // door is a front with its listener.
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -33,8 +33,9 @@
 	observer *metrics // nil where there is no listener for them
 	monitor  *guard.Monitor
 
-	leaving   atomic.Bool // leave is taken of all, also of those that come now
-	newcomers int         // since room was made; both belong to the accepting goroutine
+	leaving   atomic.Bool               // leave is taken of all, also of those that come now
+	finishBy  atomic.Pointer[time.Time] // when all are to end, also those that come now; nil before
+	newcomers int                       // since room was made; both belong to the accepting goroutine
 	roomMade  time.Time
 }
 
@@ -51,6 +52,9 @@
 	if f.leaving.Load() { // else leave, which comes after this look, finds it registered
 		t.leave(leaveWithin)
 	}
+	if by := f.finishBy.Load(); by != nil { // likewise
+		c.Drain(*by)
+	}
 	c.ExpectWithin(thriftWithin, thriftStalls, t.owes)
 	c.NotifyBeforeEnd(t.notify)
 	var lost []string
@@ -63,13 +67,14 @@
 // maxLoggedRequests bounds how many request ids one log line has.
 const maxLoggedRequests = 8
 
-// ended reports a connection's end. One with requests that have no answer, or bytes that
-// were not taken, is always logged, and as a warning unless the peer ended it: a request
-// may have been lost with it.
+// ended reports a connection's end. One with requests that had no answer by then, or bytes
+// that were not taken, is always logged, and as a warning unless the peer ended it. What was
+// open fails as it ends; where that could not be written, though the peer did not break the
+// connection, requests are lost.
 func (f *thriftFront) ended(c *transport.Conn, lost []string) {
 	end := c.End()
 	f.observer.connectionEnded(end, len(lost))
-	if end.Reason.Own() && end.Owed {
+	if end.Reason != transport.PeerFailed && len(lost) > 0 && end.Unsent > 0 {
 		f.monitor.Violated(guard.LostRequest, "peer", c.PeerAddr(), "reason", string(end.Reason))
 	}
 	level := endLevel(end, len(lost))
@@ -101,8 +106,22 @@
 	f.conns.each(func(t *thriftConn) { t.leave(leaveWithin) })
 }
 
-// finish ends all connections, each once nothing is owed on it, at the latest at a time.
-func (f *thriftFront) finish(by time.Time) { f.conns.each(func(t *thriftConn) { t.conn.Drain(by) }) }
+// finish ends all connections, those to come included, each once nothing is owed on it, at
+// the latest at a time.
+func (f *thriftFront) finish(by time.Time) {
+	f.finishBy.Store(&by)
+	f.conns.each(func(t *thriftConn) { t.conn.Drain(by) })
+}
+
+// unended counts the connections that have not ended.
+func (f *thriftFront) unended() (n int) {
+	f.conns.each(func(t *thriftConn) {
+		if !t.conn.Ended() {
+			n++
+		}
+	})
+	return n
+}
 
 // refuseLate notes what has come of messages that are half read when the grace is
 // over; the module turns away what comes over open connections from here on.
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -225,6 +225,18 @@
 // finish has nothing to do: a connection ends with its answer, and all have one.
 func (f *uwsgiFront) finish(time.Time) {}
 
+// unended counts the connections with a request whose answer is not written.
+func (f *uwsgiFront) unended() (n int) {
+	f.conns.each(func(u *uwsgiConn) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if (u.id != "" || u.closing) && !u.conn.Ended() {
+			n++
+		}
+	})
+	return n
+}
+
 // refuseLate has what is still unread when the grace of a drain is over turned
 // away: at once by the module, if all of it is on its way, else here.
 func (f *uwsgiFront) refuseLate() {
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -195,6 +195,14 @@
 	return c.spoken
 }
 
+// Ended tells whether the connection takes no more messages and all that was queued is
+// written.
+func (c *Conn) Ended() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state >= halfClosed
+}
+
 // Abort ends the connection at once.
 func (c *Conn) Abort() {
 	c.mu.Lock()
