--- a/cmd/quincerail/serve.go
+++ b/cmd/quincerail/serve.go
@@ -9,6 +9,7 @@
 	"os/signal"
 	"strings"
 	"syscall"
+	"time"
 
 	"quincerail.example/quincerail/logging"
 	"quincerail.example/quincerail/match"
@@ -45,7 +46,11 @@
 // Run implements the sub-command.
 func (c *serveCmd) Run() error { return serve(c.files) }
 
+// flushLogWithin is how long the process waits at its end for its log to be taken.
+const flushLogWithin = 20 * time.Millisecond
+
 func serve(f files) error {
+	signal.Ignore(syscall.SIGPIPE) // its log's reader may have gone: that ends nothing
 	hup := make(chan os.Signal, 1) // at once: a signal that nobody takes ends the program
 	signal.Notify(hup, syscall.SIGHUP)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
@@ -58,7 +63,9 @@
 	if err := setLevel(level, o); err != nil {
 		return err
 	}
-	logger := logging.New(os.Stderr, logging.Format(o.Log.Format), level, o.Log.Repeats)
+	lines := logging.NewWriter(os.Stderr, logging.Format(o.Log.Format))
+	defer lines.Flush(flushLogWithin)
+	logger := logging.New(lines, logging.Format(o.Log.Format), level, o.Log.Repeats)
 	config, front, err := load(o, logger)
 	if err != nil {
 		return err
--- a/internal/faultsoak/node.go
+++ b/internal/faultsoak/node.go
@@ -35,8 +35,19 @@
 	Faults  bool // Binary is of a build with faults
 	Keys    bool // its keys outlive the process, in a folder of its own
 	Inherit bool // its processes inherit the listening socket, and take over from each other
+	LogSink LogSink
 }
 
+// LogSink says what becomes of a process's log once it listens.
+type LogSink int
+
+// The sinks.
+const (
+	LogRead   LogSink = iota // it is read and kept
+	LogUnread                // its pipe stays open, but nobody reads it any more
+	LogClosed                // its pipe has no reader any more
+)
+
 // Run is a run that the processor began.
 type Run struct {
 	Node string
--- a/internal/faultsoak/process.go
+++ b/internal/faultsoak/process.go
@@ -16,6 +16,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"quincerail.example/quincerail/internal/standin"
 )
 
@@ -140,6 +142,10 @@
 	if err := cmd.Start(); err != nil {
 		return fmt.Errorf("faultsoak: %w", err)
 	}
+	if pipe, ok := stderr.(*os.File); ok && p.node.LogSink != LogRead {
+		const smallPipe = 4096
+		_, _ = unix.FcntlInt(pipe.Fd(), unix.F_SETPIPE_SZ, smallPipe) // else it only holds more
+	}
 	listening, exited := make(chan struct{}), make(chan struct{})
 	p.mu.Lock()
 	p.cmd, p.exited = cmd, exited
@@ -152,8 +158,17 @@
 			if !told && strings.Contains(s.Text(), "event=listening") {
 				told = true
 				close(listening)
+				if p.node.LogSink != LogRead {
+					break
+				}
 			}
 		}
+		if p.node.LogSink == LogClosed {
+			_ = stderr.Close() // it was opened here
+		}
+		if p.node.LogSink != LogRead { // Wait closes the pipe
+			_, _ = cmd.Process.Wait() // it tells how it ended, which nobody asks for here
+		}
 		err := cmd.Wait()
 		p.mu.Lock()
 		p.ended = err
