Count no call as bad that only leaves a number out behind a bad message

A bad message that takes a number has the call behind it out of turn too, which counted as a second one. Change: a call out of turn counts as bad only where no good message has come.

--- a/internal/faultsoak/soak_test.go
+++ b/internal/faultsoak/soak_test.go
@@ -40,3 +40,8 @@
 	}
 	playSoak(t, SoakOptions{Seed: 2, Binary: withFaults, Faults: true})
 }
+
+// TestSoakWithCrowds has crowds of clients that ask beside.
+func TestSoakWithCrowds(t *testing.T) {
+	playSoak(t, SoakOptions{Seed: crowdEvery, Binary: builtProgram})
+}
--- a/program/thriftconn.go
+++ b/program/thriftconn.go
@@ -85,7 +85,9 @@
 // number of its own. A peer of which good ones came is told that nothing new is wanted on
 // the connection; what still comes on it is taken as ever.
 func (t *thriftConn) passOver(head *thrift.Head, turn turn, why error) error {
-	t.bad++
+	if turn != outOfTurn || t.good == 0 { // else it is a message, though an earlier one was none
+		t.bad++
+	}
 	if err := guard.MayGoOn(t.input()); err != nil {
 		return fmt.Errorf("%w: %w", err, why)
 	}
@@ -93,7 +95,7 @@
 	defer t.mu.Unlock()
 	t.monitor.Denied(guard.LostRequest, why, "")
 	level := slog.LevelDebug
-	if t.bad == 1 && t.good > 0 {
+	if t.bad == 1 && turn != outOfTurn && t.good > 0 {
 		level = slog.LevelInfo
 	}
 	t.log.Log(context.Background(), level, "message_skipped", "peer", t.conn.PeerAddr(), "error", why.Error(), "open_requests", len(t.open))
