Name the drain's steps by the field's terms, and divide the reading of a request

door is listener, quiet stopReporting, leave notifyDraining, finish drain, lose failOpen; execute's reading of fields, registering and classifying are functions of their own.

--- a/program/drain.go
+++ b/program/drain.go
@@ -38,8 +38,8 @@
 		"notice_ago", time.Since(notice).Round(time.Millisecond).String())
 	s.core.Drain(notice, stopAt)
 	s.phase("leaving")
-	for _, d := range s.doors {
-		d.front.leave()
+	for _, d := range s.listeners {
+		d.front.notifyDraining()
 	}
 	answered := time.After(time.Until(stopAt.Add(-closeMargin)))
 	select {
@@ -49,7 +49,7 @@
 	}
 	s.phase("refusing")
 	shut := s.shut()
-	for _, d := range s.doors {
+	for _, d := range s.listeners {
 		d.front.refuseLate()
 	}
 	empty := s.empty()
@@ -58,7 +58,7 @@
 	case <-answered:
 		s.phase("closing")
 		if s.handover != nil {
-			s.doors[0].server.Close()
+			s.listeners[0].server.Close()
 		}
 	}
 	s.endConnections(stopAt, shut, empty)
@@ -68,7 +68,7 @@
 // close. The channel is closed once they have.
 func (s *Server) shut() <-chan struct{} {
 	var closing sync.WaitGroup
-	for i, d := range s.doors {
+	for i, d := range s.listeners {
 		if i > 0 || s.handover == nil {
 			closing.Go(d.server.Shut)
 		}
@@ -85,8 +85,8 @@
 // where package guard has it stay. connected is closed once none waits to be let in, done
 // once nothing is open any more.
 func (s *Server) endConnections(stopAt time.Time, connected, done <-chan struct{}) {
-	for _, d := range s.doors {
-		d.front.finish(stopAt.Add(-lastMargin))
+	for _, d := range s.listeners {
+		d.front.drain(stopAt.Add(-lastMargin))
 	}
 	planned := time.After(time.Until(stopAt.Add(-exitMargin)))
 	select {
@@ -105,7 +105,7 @@
 		}
 		time.Sleep(again)
 	}
-	for _, d := range s.doors {
+	for _, d := range s.listeners {
 		d.server.Close()
 	}
 	select {
@@ -124,7 +124,7 @@
 	default:
 		facts.Connecting = 1
 	}
-	for _, d := range s.doors {
+	for _, d := range s.listeners {
 		facts.Open += d.front.unended()
 	}
 	if facts.Open == 0 { // else some of them are not read yet
@@ -168,7 +168,7 @@
 	empty := make(chan struct{})
 	go func() {
 		defer close(empty)
-		for _, d := range s.doors {
+		for _, d := range s.listeners {
 			<-d.server.Empty()
 		}
 	}()
@@ -206,8 +206,8 @@
 	config := s.config.Load()
 	stopAt := s.core.NoticeTime().Add(config.stopAfter())
 	settled := s.core.HandOver(stopAt)
-	s.quiet()
-	for _, d := range s.doors {
+	s.stopReporting()
+	for _, d := range s.listeners {
 		d.server.Close()
 	}
 	done := make(chan struct{})
@@ -219,8 +219,8 @@
 	}()
 	answered := time.After(time.Until(stopAt.Add(-closeMargin)))
 	for again := time.Tick(leaveAgain); ; {
-		for _, d := range s.doors {
-			d.front.leave() // also of connections that were let in last
+		for _, d := range s.listeners {
+			d.front.notifyDraining() // also of connections that were let in last
 		}
 		select {
 		case <-again:
--- a/program/fronts_test.go
+++ b/program/fronts_test.go
@@ -108,7 +108,7 @@
 				send(standin.AppendCheck(nil, seq, s.Pick(2) == 1))
 			case 5:
 				time.Sleep(time.Duration(s.Pick(30)) * 100 * time.Millisecond)
-				front.leave()
+				front.notifyDraining()
 				synctest.Wait()
 				select {
 				case <-ended:
--- a/program/program.go
+++ b/program/program.go
@@ -50,48 +50,48 @@
 // front is what the drain needs of a front.
 type front interface {
 	serve(*transport.Conn)
-	crowded()            // connections are getting scarce
-	leave()              // the notice has come: callers are told
-	refuseLate()         // the grace is over
-	finish(by time.Time) // all is answered: connections end, at the latest at a time
-	unended() int        // connections that have not ended since
+	crowded()           // connections are getting scarce
+	notifyDraining()    // the notice has come: callers are told
+	refuseLate()        // the grace is over
+	drain(by time.Time) // all is answered: connections end, at the latest at a time
+	unended() int       // connections that have not ended since
 }
 
-// door is a front with its listener.
-type door struct {
+// listener is a front with its listener.
+type listener struct {
 	front  front
 	server *transport.Server
 }
 
 // Server is a running app server.
 type Server struct {
-	config      atomic.Pointer[Config] // in force
-	core        *routing.Core
-	link        *backend.Processor
-	pool        *downstream.Pool
-	presence    *announcer
-	thrift      *thriftFront
-	uwsgi       *uwsgiFront // nil where it is off, like its backend
-	backend     *backend.UWSGI
-	idle        *idleLimit
-	doors       []door            // the first is the platform's
-	control     *transport.Server // where operators call; may be nil
-	handover    *handoverDoor     // nil where the listening socket is not inherited
-	rules       *match.Rules      // the operator's rules, that the fronts ask first
-	keys        *journal.Journal  // where the keys that ran outlive the process; nil where they don't
-	log         *slog.Logger
-	monitor     *guard.Monitor // of the platform's rules
-	metricsAddr net.Addr
-	operators   []*http.Server  // the operator's own listeners
-	fleet       *fleet.Fleet    // nil where there is none
-	tally       *tally          // nil without a fleet
-	watch       *metrics        // nil without the operator's listener for them
-	reloading   sync.Mutex      // one at a time
-	file        *Config         // the configuration as its file says
-	patch       json.RawMessage // what the fleet changes of its settings
-	serving     atomic.Bool
-	quiet       context.CancelFunc // ends the reports
-	stop        context.CancelFunc
+	config        atomic.Pointer[Config] // in force
+	core          *routing.Core
+	link          *backend.Processor
+	pool          *downstream.Pool
+	presence      *announcer
+	thrift        *thriftFront
+	uwsgi         *uwsgiFront // nil where it is off, like its backend
+	backend       *backend.UWSGI
+	idle          *idleLimit
+	listeners     []listener        // the first is the platform's
+	control       *transport.Server // where operators call; may be nil
+	handover      *handoverDoor     // nil where the listening socket is not inherited
+	rules         *match.Rules      // the operator's rules, that the fronts ask first
+	keys          *journal.Journal  // where the keys that ran outlive the process; nil where they don't
+	log           *slog.Logger
+	monitor       *guard.Monitor // of the platform's rules
+	metricsAddr   net.Addr
+	operators     []*http.Server  // the operator's own listeners
+	fleet         *fleet.Fleet    // nil where there is none
+	tally         *tally          // nil without a fleet
+	watch         *metrics        // nil without the operator's listener for them
+	reloading     sync.Mutex      // one at a time
+	file          *Config         // the configuration as its file says
+	patch         json.RawMessage // what the fleet changes of its settings
+	serving       atomic.Bool
+	stopReporting context.CancelFunc // ends the reports
+	stop          context.CancelFunc
 }
 
 // Limit sets the process's memory limit and threads from the configuration.
@@ -259,7 +259,7 @@
 
 // closeListeners ends what Start has opened to callers.
 func (s *Server) closeListeners() {
-	for _, d := range s.doors {
+	for _, d := range s.listeners {
 		d.server.Close()
 	}
 	if s.control != nil {
@@ -279,9 +279,9 @@
 	if ctx.Err() != nil {
 		return
 	}
-	ctx, s.quiet = context.WithCancel(ctx)
+	ctx, s.stopReporting = context.WithCancel(ctx)
 	go s.presence.run(ctx, c.Announce)
-	for _, d := range s.doors {
+	for _, d := range s.listeners {
 		go d.server.Run()
 		s.log.Info("listening", "name", c.Name, "address", d.server.Addr().String())
 	}
@@ -298,10 +298,10 @@
 		return // it has stopped
 	}
 	if elder != nil { // its connections count with those here
-		s.doors[0].server.SetLimit(int(float64(c.Sockets) * besideShare))
+		s.listeners[0].server.SetLimit(int(float64(c.Sockets) * besideShare))
 		s.open(ctx, c)
 		<-elder.ended
-		s.doors[0].server.SetLimit(int(float64(c.Sockets) * frontShare))
+		s.listeners[0].server.SetLimit(int(float64(c.Sockets) * frontShare))
 	} else {
 		s.open(ctx, c)
 	}
@@ -331,7 +331,7 @@
 	server.OnAcceptFailures(func(last error, failures int) {
 		s.log.Warn("accept_failed", "listener", key, "failures", failures, "error", last.Error())
 	})
-	s.doors = append(s.doors, door{f, server})
+	s.listeners = append(s.listeners, listener{f, server})
 	return nil
 }
 
@@ -345,14 +345,14 @@
 }
 
 // Addr is the address that balancers connect to.
-func (s *Server) Addr() net.Addr { return s.doors[0].server.Addr() }
+func (s *Server) Addr() net.Addr { return s.listeners[0].server.Addr() }
 
 // UWSGIAddr is the address of the uwsgi front, nil where it is off.
 func (s *Server) UWSGIAddr() net.Addr {
-	if len(s.doors) < 2 {
+	if len(s.listeners) < 2 {
 		return nil
 	}
-	return s.doors[1].server.Addr()
+	return s.listeners[1].server.Addr()
 }
 
 // ControlAddr is the address that operators call, nil where there is none.
--- a/program/thrift.go
+++ b/program/thrift.go
@@ -34,7 +34,7 @@
 	monitor  *guard.Monitor
 
 	leaving   atomic.Bool               // leave is taken of all, also of those that come now
-	finishBy  atomic.Pointer[time.Time] // when all are to end, also those that come now; nil before
+	drainBy   atomic.Pointer[time.Time] // when all are to end, also those that come now; nil before
 	newcomers int                       // since room was made; both belong to the accepting goroutine
 	roomMade  time.Time
 }
@@ -50,17 +50,17 @@
 	f.conns.add(t)
 	defer f.conns.remove(t)
 	if f.leaving.Load() { // else leave, which comes after this look, finds it registered
-		t.leave(leaveWithin)
+		t.notifyOrClose(leaveWithin)
 	}
-	if by := f.finishBy.Load(); by != nil { // likewise
+	if by := f.drainBy.Load(); by != nil { // likewise
 		c.Drain(*by)
 	}
 	c.ExpectWithin(thriftWithin, thriftStalls, t.owes)
 	c.NotifyBeforeEnd(t.notify)
 	var lost []string
-	c.OnEnd(func(error) { lost = t.lose() })
+	c.OnEnd(func(error) { lost = t.failOpen() })
 	c.Serve(t.step)
-	lost = append(lost, t.lose()...) // also where a write failed
+	lost = append(lost, t.failOpen()...) // also where a write failed
 	f.ended(c, lost)
 }
 
@@ -100,16 +100,16 @@
 	return slog.LevelWarn
 }
 
-// leave takes leave of all connections, those to come included.
-func (f *thriftFront) leave() {
+// notifyDraining tells all connections, those to come included, that nothing new is wanted.
+func (f *thriftFront) notifyDraining() {
 	f.leaving.Store(true)
-	f.conns.each(func(t *thriftConn) { t.leave(leaveWithin) })
+	f.conns.each(func(t *thriftConn) { t.notifyOrClose(leaveWithin) })
 }
 
-// finish ends all connections, those to come included, each once nothing is owed on it, at
+// drain ends all connections, those to come included, each once nothing is owed on it, at
 // the latest at a time.
-func (f *thriftFront) finish(by time.Time) {
-	f.finishBy.Store(&by)
+func (f *thriftFront) drain(by time.Time) {
+	f.drainBy.Store(&by)
 	f.conns.each(func(t *thriftConn) { t.conn.Drain(by) })
 }
 
@@ -127,12 +127,12 @@
 // over; the module turns away what comes over open connections from here on.
 func (f *thriftFront) refuseLate() { f.conns.each(func(t *thriftConn) { t.conn.Mark() }) }
 
-// leaveIdle takes leave of connections that have idled for a time, and goes on
-// with the leave that was taken before.
+// leaveIdle tells connections that have idled for a time that nothing new is wanted, and
+// closes those that were told before.
 func (f *thriftFront) leaveIdle(after time.Duration) {
 	f.conns.each(func(t *thriftConn) {
-		if t.left() || t.idle(after) {
-			t.leave(leaveWithin)
+		if t.notified() || t.idle(after) {
+			t.notifyOrClose(leaveWithin)
 		}
 	})
 }
@@ -148,11 +148,11 @@
 	var idle []*thriftConn
 	f.conns.each(func(t *thriftConn) {
 		switch {
-		case t.left():
-			t.leave(crowdedLeave)
+		case t.notified():
+			t.notifyOrClose(crowdedLeave)
 		case !t.conn.Spoken():
 			if t.idle(silentAfter) {
-				t.leave(crowdedLeave)
+				t.notifyOrClose(crowdedLeave)
 			}
 		case t.idle(crowdedAfter):
 			idle = append(idle, t)
@@ -160,7 +160,7 @@
 	})
 	slices.SortFunc(idle, func(a, b *thriftConn) int { return a.conn.IdleSince().Compare(b.conn.IdleSince()) })
 	for _, t := range idle[:min(f.newcomers, len(idle))] {
-		t.leave(crowdedLeave)
+		t.notifyOrClose(crowdedLeave)
 	}
 	f.newcomers, f.roomMade = 0, time.Now()
 }
--- a/program/thriftconn.go
+++ b/program/thriftconn.go
@@ -108,9 +108,9 @@
 	return transport.ErrSkipped
 }
 
-// lose gives up what is open as the connection ends. A caller that has only shut
+// failOpen gives up what is open as the connection ends. A caller that has only shut
 // its writing end still reads, and is told so. It returns the ids of those that were open.
-func (t *thriftConn) lose() (ids []string) {
+func (t *thriftConn) failOpen() (ids []string) {
 	t.mu.Lock()
 	lost := t.open
 	t.open, t.ids = make(map[string]int32), make(map[int32]string)
@@ -168,66 +168,82 @@
 
 // execute hands a request in.
 func (t *thriftConn) execute(m *thrift.Message) error {
+	request, err := t.request(m)
+	if err != nil {
+		return err
+	}
+	if err := t.register(request.ID, m.Seq); err != nil {
+		return err
+	}
+	if err := t.core.Submit(request); err != nil {
+		t.mu.Lock()
+		defer t.mu.Unlock()
+		t.close(request.ID, m.Seq)
+		return err
+	}
+	return nil
+}
+
+// register takes in that a request is open.
+func (t *thriftConn) register(id string, seq int32) error {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if len(t.open) >= maxOpen {
+		return fmt.Errorf("over %d open requests", maxOpen)
+	}
+	if _, twice := t.open[id]; twice {
+		return fmt.Errorf("txn %q is open", id)
+	}
+	t.open[id], t.ids[seq] = seq, id
+	return nil
+}
+
+// request reads a message's fields. The error names the one that makes no sense.
+func (t *thriftConn) request(m *thrift.Message) (request routing.Request, err error) {
 	if m.Err != nil {
-		return m.Err
+		return request, m.Err
 	}
 	door, err := strconv.ParseInt(m.Fields["door"], 10, 64)
 	if err != nil || door < 0 {
-		return fmt.Errorf("door %q", m.Fields["door"])
+		return request, fmt.Errorf("door %q", m.Fields["door"])
 	}
 	timeline := t.core.Clock()
 	arrived := timeline.Received(time.UnixMilli(door))
 	if arrived-timeline.Now() > doorAhead {
-		return fmt.Errorf("door %q", m.Fields["door"])
+		return request, fmt.Errorf("door %q", m.Fields["door"])
 	}
-	arrivedAt := timeline.Time(arrived)
-	ram, err := strconv.ParseFloat(m.Fields["ram"], 64)
-	if err != nil || !(ram > 0 && ram < 2000) {
-		return fmt.Errorf("ram %q", m.Fields["ram"])
+	request = routing.Request{
+		ID: m.Fields["txn"], Item: m.Fields["item"], Tenant: m.Fields["team"], Door: timeline.Time(arrived),
+		After: t.conn.CameAfter(), ReadBy: t.conn.ReadAt(), Payload: routing.Payload{Body: m.Body}, Sink: t,
 	}
-	rank, err := strconv.ParseFloat(m.Fields["standing"], 64)
-	if err != nil || !(rank >= 0 && rank < 1) {
-		return fmt.Errorf("standing %q", m.Fields["standing"])
+	if request.HeldKB, err = strconv.ParseFloat(m.Fields["ram"], 64); err != nil || !(request.HeldKB > 0 && request.HeldKB < 2000) {
+		return request, fmt.Errorf("ram %q", m.Fields["ram"])
 	}
-	caller, err := strconv.Atoi(m.Fields["lb"])
-	if err != nil {
-		return fmt.Errorf("lb %q", m.Fields["lb"])
-	}
-	due, err := callerDue(arrivedAt, m.Fields["limit"])
-	if err != nil {
-		return err
+	if request.Rank, err = strconv.ParseFloat(m.Fields["standing"], 64); err != nil || !(request.Rank >= 0 && request.Rank < 1) {
+		return request, fmt.Errorf("standing %q", m.Fields["standing"])
 	}
-	id := m.Fields["txn"]
-	if _, err := strconv.ParseUint(id, 16, 64); err != nil || len(id) != 16 {
-		return fmt.Errorf("txn %q", id)
+	if request.Caller, err = strconv.Atoi(m.Fields["lb"]); err != nil {
+		return request, fmt.Errorf("lb %q", m.Fields["lb"])
 	}
-	t.mu.Lock()
-	if len(t.open) >= maxOpen {
-		t.mu.Unlock()
-		return fmt.Errorf("over %d open requests", maxOpen)
+	if request.Due, err = callerDue(request.Door, m.Fields["limit"]); err != nil {
+		return request, err
 	}
-	if _, twice := t.open[id]; twice {
-		t.mu.Unlock()
-		return fmt.Errorf("txn %q is open", id)
+	if _, err := strconv.ParseUint(request.ID, 16, 64); err != nil || len(request.ID) != 16 {
+		return request, fmt.Errorf("txn %q", request.ID)
 	}
-	t.open[id], t.ids[m.Seq] = m.Seq, id
-	t.mu.Unlock()
-	class, key := m.Fields["verb"], m.Fields["unique"] // as the platform has them, where no rule says otherwise
+	request.Class, request.Key = t.classify(m)
+	return request, nil
+}
+
+// classify gives a request's class and key: by the operator's rules, if one takes it, else
+// as the platform has them.
+func (t *thriftConn) classify(m *thrift.Message) (class, key string) {
 	if set := t.rules.Load(); set != nil {
-		if res, ok := set.Classify(match.FromFields(m.Fields, m.Body)); ok {
-			class, key = res.Class, res.Key
+		if result, ok := set.Classify(match.FromFields(m.Fields, m.Body)); ok {
+			return result.Class, result.Key
 		}
 	}
-	err = t.core.Submit(routing.Request{ID: id, Class: class, Key: key, Item: m.Fields["item"], Tenant: m.Fields["team"],
-		Due: due, Door: arrivedAt, After: t.conn.CameAfter(),
-		ReadBy: t.conn.ReadAt(), Caller: caller, HeldKB: ram, Rank: rank,
-		Payload: routing.Payload{Body: m.Body}, Sink: t})
-	if err != nil {
-		t.mu.Lock()
-		t.close(id, m.Seq)
-		t.mu.Unlock()
-	}
-	return err
+	return m.Fields["verb"], m.Fields["unique"]
 }
 
 // callerDue gives when a caller stops waiting that says how many milliseconds it waits
@@ -312,10 +328,10 @@
 	}
 }
 
-// leave asks that no new request comes on the connection; the balancer closes
+// notifyOrClose asks that no new request comes on the connection; the balancer closes
 // it once all on it is answered. One that does not is closed when idle, after it has
 // been told for a time.
-func (t *thriftConn) leave(within time.Duration) {
+func (t *thriftConn) notifyOrClose(within time.Duration) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if !t.leaving.IsZero() && !t.owesLocked() && time.Since(t.leaving) > within {
@@ -334,8 +350,8 @@
 
 func (t *thriftConn) owesLocked() bool { return len(t.open)+t.checks > 0 }
 
-// left tells whether leave of the connection was taken before.
-func (t *thriftConn) left() bool {
+// notified tells whether leave of the connection was taken before.
+func (t *thriftConn) notified() bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	return !t.leaving.IsZero()
--- a/program/uwsgi.go
+++ b/program/uwsgi.go
@@ -219,11 +219,11 @@
 // request runs.
 func (f *uwsgiFront) crowded() {}
 
-// leave has nothing to say in this protocol: a connection ends with its answer.
-func (f *uwsgiFront) leave() {}
+// notifyDraining has nothing to say in this protocol: a connection ends with its answer.
+func (f *uwsgiFront) notifyDraining() {}
 
-// finish has nothing to do: a connection ends with its answer, and all have one.
-func (f *uwsgiFront) finish(time.Time) {}
+// drain has nothing to do: a connection ends with its answer, and all have one.
+func (f *uwsgiFront) drain(time.Time) {}
 
 // unended counts the connections with a request whose answer is not written.
 func (f *uwsgiFront) unended() (n int) {
