--- a/internal/faultsoak/clients.go
+++ b/internal/faultsoak/clients.go
@@ -159,9 +159,14 @@
 	}
 }
 
-// pipelining has many requests open at a time.
+// pipelining has many requests open at a time, until it is told to leave.
 func pipelining(ctx context.Context, p *population, c *Client, rng *rand.Rand) {
-	for !c.Leaving() && pause(ctx, between(rng, time.Millisecond, 30*time.Millisecond)) {
+	pipeline(ctx, p, c, rng, func() bool { return !c.Leaving() })
+}
+
+// pipeline sends requests, many of them open at a time, for as long as it may.
+func pipeline(ctx context.Context, p *population, c *Client, rng *rand.Rand, may func() bool) {
+	for may() && pause(ctx, between(rng, time.Millisecond, 30*time.Millisecond)) {
 		for c.Open() >= pipelined {
 			if !pause(ctx, time.Millisecond) {
 				return
--- a/internal/faultsoak/persistentclients.go
+++ b/internal/faultsoak/persistentclients.go
@@ -12,16 +12,7 @@
 // persistent has many requests open at a time, whatever it is told, until its connection
 // ends.
 func persistent(ctx context.Context, p *population, c *Client, rng *rand.Rand) {
-	for pause(ctx, between(rng, time.Millisecond, 40*time.Millisecond)) {
-		for c.Open() >= pipelined {
-			if !pause(ctx, time.Millisecond) {
-				return
-			}
-		}
-		if _, err := c.Send(p.ask(rng)); err != nil {
-			return
-		}
-	}
+	pipeline(ctx, p, c, rng, func() bool { return true })
 }
 
 // knocking asks once on each of its connections, and comes with the next one at once. Some
