Review case 2: gifts run twice after a standstill of the new process

Cause: the connection on which two processes of an upgrade exchange keys is aborted when over 512 KiB are queued for a peer that does not read. What was queued is lost, both processes go on alone, and the new one does not doubt keys that it does not know.

No fault is fixed and nothing outside review/ changes.

--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -14,7 +14,8 @@
 
 // cases are the plays, by name. A play returns whether the rule was broken.
 var cases = map[string]func(p *platform, trouble bool) (broken bool, err error){
-	"gap": playGap,
+	"gap":   playGap,
+	"queue": playQueue,
 }
 
 func main() { os.Exit(play()) }
