Review case 3: the process hangs when the store of keys is full

Cause: a record that the full store rejects calls its done function on the core's own goroutine. That function puts an event into the core's bounded mailbox, and waits for ever while the mailbox is full, as only the core empties it.

No fault is fixed and nothing outside review/ changes.

--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -16,6 +16,7 @@
 var cases = map[string]func(p *platform, trouble bool) (broken bool, err error){
 	"gap":   playGap,
 	"queue": playQueue,
+	"full":  playFull,
 }
 
 func main() { os.Exit(play()) }
