--- a/review/_standins/rules.go
+++ b/review/_standins/rules.go
@@ -49,7 +49,14 @@
 			}
 		}
 	}
-	p.record.say("%d keys ran, %d of them more than once within their window", len(byKey), broken)
+	again := 0
+	for _, t := range tries {
+		if t.outcome == lostAnswer {
+			again++
+		}
+	}
+	p.record.say("%d gifts ran, %d of them were tried again as their answer was lost, %d ran twice within the window",
+		len(byKey), again, broken)
 	return broken
 }
 
