--- a/review/_standins/gap.go
+++ b/review/_standins/gap.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"syscall"
 	"time"
@@ -18,7 +19,7 @@
 	)
 	p.work.duration = func(body string) time.Duration {
 		if body == longBody {
-			return longRun
+			return longRun / 2 // before its call and after it
 		}
 		return 5 * time.Millisecond
 	}
@@ -56,6 +57,9 @@
 		return false, err
 	}
 	time.Sleep(time.Until(longSince.Add(longRun - stopBeforeEnd)))
+	if first.hasExited() {
+		return false, errors.New("the first process ended too early")
+	}
 	if trouble {
 		p.signal(second, syscall.SIGSTOP)
 	}
--- a/review/_standins/main.go
+++ b/review/_standins/main.go
@@ -39,7 +39,7 @@
 	}
 	defer os.RemoveAll(dir)
 	p, err := newPlatform(os.Args[2], dir, rec, &work{
-		duration: func(string) time.Duration { return 5 * time.Millisecond }, calls: func(string) int { return 0 },
+		duration: func(string) time.Duration { return 5 * time.Millisecond }, calls: func(string) int { return 1 },
 	})
 	if err != nil {
 		rec.say("could not run: %v", err)
