--- a/review/_standins-2/drill/main.go
+++ b/review/_standins-2/drill/main.go
@@ -11,6 +11,8 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
+	"syscall"
 	"time"
 )
 
@@ -25,11 +27,11 @@
 
 func main() {
 	cases := map[string]func(*site) (broken []string, err error){
-		"silent-clients":  silentClients,
-		"latin1-key":      latin1Key,
-		"sigterm-start":   sigtermAtStart,
-		"upgrade-keys":    upgradeKeys,
-		"keys-never-aged": keysNeverAged,
+		"silent-clients": silentClients,
+		"latin1-key":     latin1Key,
+		"sigterm-start":  sigtermAtStart,
+		"upgrade-keys":   upgradeKeys,
+		"memory-restart": memoryAtRestart,
 	}
 	if len(os.Args) != 3 || cases[os.Args[1]] == nil {
 		fmt.Fprintln(os.Stderr, "usage: drill CASE FOLDER")
@@ -45,6 +47,13 @@
 		s.close()
 		os.Exit(exitNotRun)
 	})
+	ended := make(chan os.Signal, 1)
+	signal.Notify(ended, syscall.SIGTERM, os.Interrupt)
+	go func() {
+		<-ended
+		s.close()
+		os.Exit(exitNotRun)
+	}()
 	broken, err := cases[os.Args[1]](s)
 	s.close()
 	code := exitHeld
