--- a/backend/processor.go
+++ b/backend/processor.go
@@ -140,6 +140,7 @@
 	}
 	if report != nil {
 		report.send(p.core)
+		p.core.AwaitReports()
 	}
 	return nil
 }
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -50,7 +50,7 @@
 // not have been received yet.
 func (c *Core) holdAfterStall(a *attempt, hold time.Duration) {
 	c.transition(a, stateHeldAfterStall)
-	time.AfterFunc(hold, func() { c.notify(stallHoldEnded{a}) })
+	time.AfterFunc(hold, func() { c.report(stallHoldEnded{a}) })
 }
 
 type stallHoldEnded struct{ attempt *attempt }
@@ -75,7 +75,7 @@
 		return
 	}
 	c.transition(a, stateAwaitingJournal)
-	c.options.Journal.Record(c.keyState(a.entry), func(err error) { c.notify(claimRecorded{a, err}) })
+	c.options.Journal.Record(c.keyState(a.entry), func(err error) { c.report(claimRecorded{a, err}) })
 }
 
 // claimRecorded reports that a claim is durable, or that it can't be made durable (err). In
--- a/dispatch/completion.go
+++ b/dispatch/completion.go
@@ -10,7 +10,7 @@
 // RunCompleted reports how a run ended, how long it took, and its result. The answer has the
 // result of a failed run as well.
 func (c *Core) RunCompleted(id string, end RunEnd, took time.Duration, result Payload) {
-	c.notify(runCompleted{id, end, took, result})
+	c.report(runCompleted{id, end, took, result})
 }
 
 type runCompleted struct {
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -26,6 +26,7 @@
 	Registrar        Registrar   // may be nil
 	Connections      Connections // may be nil
 	MaxKeyTableBytes int         // bound on the key table including its results; 0 for none
+	MailboxCapacity  int         // queued events before senders block; 0 for the default, negative for an unbuffered mailbox
 
 	// Journal makes key states durable; nil keeps them in memory only. A keyed run starts
 	// only after its claim is durable.
@@ -88,7 +89,7 @@
 // invalid setting.
 func New(opt Options) (*Core, error) {
 	c := &Core{
-		options: opt, initialClasses: make(map[string]bool), clock: clock.New(), log: opt.Logger, loop: newEventLoop(),
+		options: opt, initialClasses: make(map[string]bool), clock: clock.New(), log: opt.Logger, loop: newEventLoop(opt.MailboxCapacity),
 		gauges:   decision.Gauges{CoreUtilization: -1, RunnableTasks: -1, MemoryUtilization: -1, Connections: -1},
 		attempts: make(map[string]*attempt), keys: idempotency.NewTable(opt.MaxKeyTableBytes),
 		health: healthState{healthy: true},
--- a/dispatch/downstream_calls.go
+++ b/dispatch/downstream_calls.go
@@ -24,7 +24,7 @@
 // call of a run. A report is ignored if the run already waits for a call with an equal or
 // greater number.
 func (c *Core) CallRequested(id string, notice uint64, body []byte) {
-	c.notify(callRequested{id, notice, body})
+	c.report(callRequested{id, notice, body})
 }
 
 type callRequested struct {
@@ -66,7 +66,7 @@
 		return
 	}
 	c := h.Core
-	call.timer = time.AfterFunc(timeout, func() { c.notify(callTimedOut{a, call, number}) })
+	call.timer = time.AfterFunc(timeout, func() { c.report(callTimedOut{a, call, number}) })
 	h.options.Dependency.Call(id, number, timeout, call.body)
 }
 
@@ -90,7 +90,7 @@
 	call.abandoned = true
 	c.options.Dependency.Abandon(a.ID)
 	call.timer = time.AfterFunc(c.abandonedCallDelay(), func() {
-		c.notify(callEndedByCore{a, e.number, decision.TimedOut})
+		c.report(callEndedByCore{a, e.number, decision.TimedOut})
 	})
 }
 
@@ -118,7 +118,7 @@
 // CallCompleted reports how the run's call with the given number ended. The report is ignored
 // if the call was abandoned or is not the latest of its run.
 func (c *Core) CallCompleted(id string, number int, outcome CallOutcome, reply []byte) {
-	c.notify(callCompleted{id, number, outcome, reply})
+	c.report(callCompleted{id, number, outcome, reply})
 }
 
 type callCompleted struct {
--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -63,10 +63,10 @@
 		return
 	}
 	check := &deepCheck{reply: e.reply}
-	timeout := time.AfterFunc(maxDeepCheckWait, func() { c.notify(deepCheckCompleted{check, false}) })
+	timeout := time.AfterFunc(maxDeepCheckWait, func() { c.report(deepCheckCompleted{check, false}) })
 	c.options.Machine.CheckHealth(func(healthy bool) {
 		timeout.Stop()
-		c.notify(deepCheckCompleted{check, healthy})
+		c.report(deepCheckCompleted{check, healthy})
 	})
 }
 
--- a/dispatch/timers.go
+++ b/dispatch/timers.go
@@ -12,7 +12,7 @@
 // SetTimer sets a timer that calls the module's Tick with the token.
 func (h host) SetTimer(after time.Duration, token int64) {
 	c := h.Core
-	time.AfterFunc(after, func() { c.notify(timerFired{token}) })
+	time.AfterFunc(after, func() { c.report(timerFired{token}) })
 }
 
 // timerFired answers overdue requests and calls the module's Tick with the current gauges,
@@ -26,10 +26,10 @@
 		return
 	}
 	t := &pendingTick{token: e.token}
-	timeout := time.AfterFunc(maxGaugeWait, func() { c.notify(gaugesTimedOut{t}) })
+	timeout := time.AfterFunc(maxGaugeWait, func() { c.report(gaugesTimedOut{t}) })
 	c.options.Machine.ReadGauges(func(g decision.Gauges) {
 		timeout.Stop()
-		c.notify(gaugesRead{t, g})
+		c.report(gaugesRead{t, g})
 	})
 }
 
--- a/internal/dispatchtest/dispatchtest.go
+++ b/internal/dispatchtest/dispatchtest.go
@@ -3,6 +3,7 @@
 package dispatchtest
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -35,7 +36,8 @@
 }
 
 // StartCore starts a core with the settings of the example config.json and opt. It runs until the
-// test ends.
+// test ends. Unless opt sets its capacity, its mailbox has no room, so that a core that waits for
+// itself hangs at once.
 func StartCore(t *testing.T, opt dispatch.Options) *dispatch.Core {
 	t.Helper()
 	var config struct {
@@ -49,6 +51,7 @@
 		t.Fatal(err)
 	}
 	opt.Settings.CacheTTL = 0
+	opt.MailboxCapacity = cmp.Or(opt.MailboxCapacity, -1)
 	for _, class := range gjson.GetBytes(config.Settings, "lanes").Array() {
 		opt.Classes = append(opt.Classes, class.Get("name").String())
 	}
--- a/server/start.go
+++ b/server/start.go
@@ -35,6 +35,9 @@
 	keyWindowSlack = time.Second
 )
 
+// mailboxCapacity is dispatch.Options.MailboxCapacity. Only tests change it.
+var mailboxCapacity = 0
+
 // Start starts a server. If uwsgiFile is nil, the uwsgi frontend is off. Callers can connect
 // when Start returns or, if the listening socket is inherited, once the predecessor's keys are
 // known. After an error nothing is left running. The error is a *config.KeyError if listening
@@ -204,6 +207,7 @@
 		MaxKeyTableBytes: c.MemoryMB * bytesPerMB / keyTableMemoryDivisor,
 		RecoveredKeys:    recovered.States,
 		InDoubtUntil:     recovered.InDoubtUntil,
+		MailboxCapacity:  mailboxCapacity,
 	}
 	if s.journal != nil {
 		options.Journal = s.journal
