--- a/frontend/thrift/frontend.go
+++ b/frontend/thrift/frontend.go
@@ -86,7 +86,7 @@
 	transportConn.NotifyBeforeClose(c.notify)
 	var unanswered []string
 	transportConn.OnClose(func(cause error) {
-		if errors.Is(cause, transport.ErrAbandoned) {
+		if errors.Is(cause, transport.ErrAbandoned) || errors.Is(cause, transport.ErrInputBudget) {
 			c.failIncompleteCall()
 		}
 		unanswered = c.failOpenRequests()
--- a/frontend/thrift/request.go
+++ b/frontend/thrift/request.go
@@ -1,6 +1,7 @@
 package thrift
 
 import (
+	"bytes"
 	"fmt"
 	"math"
 	"strconv"
@@ -17,6 +18,7 @@
 	maxTimeoutMS    = 24 * 60 * 60 * 1000 // a longer timeout is reduced to this; the deadline of every class is shorter
 	maxReservedKB   = 2000                // exclusive bound
 	attemptIDDigits = 16                  // hexadecimal
+	bytesPerKB      = 1024
 )
 
 // FieldError reports a field of a request with a missing or invalid value.
@@ -46,7 +48,7 @@
 		ReadAfter: c.conn.ReadAfter(),
 		ReadBy:    c.conn.ReadBy(),
 		OverLimit: c.conn.OverLimit(),
-		Payload:   dispatch.Payload{Body: m.Body},
+		Payload:   dispatch.Payload{Body: bytes.Clone(m.Body)}, // not the whole frame
 		Responder: c,
 	}
 	if err := parseNumbers(m.Fields, &request); err != nil {
@@ -83,6 +85,7 @@
 	if err != nil || !(request.ReservedKB > 0 && request.ReservedKB < maxReservedKB) {
 		return fieldError(fields, protocol.FieldReservedMemory)
 	}
+	request.ReservedKB = max(request.ReservedKB, float64(len(request.Payload.Body))/bytesPerKB)
 	request.Rank, err = strconv.ParseFloat(fields[protocol.FieldRank], 64)
 	if err != nil || !(request.Rank >= 0 && request.Rank < 1) {
 		return fieldError(fields, protocol.FieldRank)
--- a/frontend/uwsgi/connection.go
+++ b/frontend/uwsgi/connection.go
@@ -65,6 +65,8 @@
 		c.respond(http.StatusBadRequest)
 	case errors.Is(err, protocol.ErrTooLarge):
 		c.respond(http.StatusRequestEntityTooLarge)
+	case errors.Is(err, transport.ErrInputBudget):
+		c.reject(retryAfterInput)
 	default:
 		return err
 	}
@@ -76,6 +78,7 @@
 // any byte gets a response only if it is abandoned before the end of the grace period, because
 // a request may be on its way then.
 func (c *connection) respondToIncomplete(cause error) {
+	defer c.discardIncomplete()
 	c.mu.Lock()
 	requestRead, graceOver := c.requestID != "" || c.closing, c.graceOver
 	c.mu.Unlock()
@@ -92,6 +95,13 @@
 	}
 }
 
+// discardIncomplete gives back the memory of an incomplete request when its connection closes.
+func (c *connection) discardIncomplete() {
+	if c.decoder.Discard() {
+		_ = c.conn.ReserveInput(0) // giving back never fails
+	}
+}
+
 // respondToPing sends a pong if the server is healthy, and closes the connection.
 func (c *connection) respondToPing() {
 	c.checkHealth(func(healthy bool) {
@@ -127,16 +137,16 @@
 		c.respond(http.StatusNotFound)
 		return
 	}
-	payload, size := requestPayload(r)
+	payload := requestPayload(r)
 	err := c.frontend.core.Submit(dispatch.Request{
 		ID:         id,
 		Class:      class,
-		Key:        key,
+		Key:        strings.Clone(key), // the key table must not keep all variables in memory
 		ArrivedAt:  time.Now().Add(-c.conn.ArrivedBefore()),
 		ReadBy:     c.conn.ReadBy(),
 		OverLimit:  c.conn.OverLimit(),
 		Caller:     noBalancer,
-		ReservedKB: requestOverheadKB + float64(size)/bytesPerKB,
+		ReservedKB: requestOverheadKB + float64(r.Size())/bytesPerKB,
 		Payload:    payload,
 		Backend:    c.frontend.backend,
 		Responder:  c,
@@ -166,14 +176,13 @@
 	return path
 }
 
-// requestPayload returns the payload for the backend, and its size in bytes.
-func requestPayload(r *protocol.Request) (payload dispatch.Payload, size int) {
-	payload, size = dispatch.Payload{Body: r.Body}, len(r.Body)
+// requestPayload returns the payload for the backend.
+func requestPayload(r *protocol.Request) dispatch.Payload {
+	payload := dispatch.Payload{Body: r.Body, Fields: make([]dispatch.Field, 0, len(r.Vars))}
 	for _, v := range r.Vars {
 		payload.Fields = append(payload.Fields, dispatch.Field(v))
-		size += len(v.Name) + len(v.Value)
 	}
-	return payload, size
+	return payload
 }
 
 // classify returns the class and the idempotency key of a request: those of the first
--- a/frontend/uwsgi/frontend.go
+++ b/frontend/uwsgi/frontend.go
@@ -19,6 +19,7 @@
 	firstByteTimeout         = 2 * time.Second         // until the first byte of a request; callers that send nothing must be closed within 3 s
 	requestStallTimeout      = 2400 * time.Millisecond // until the next byte of an incomplete request
 	requestTimeoutAfterGrace = 100 * time.Millisecond  // until the rest of a request has arrived, after the grace period of a drain
+	retryAfterInput          = time.Second             // of a request for which no memory was left
 	requestOverheadKB        = 16                      // memory reserved for a request in addition to its size
 	frontendName             = "uwsgi"                 // of this frontend in operator rules
 	noBalancer               = -1                      // dispatch.Request.Caller of requests that were not sent by a balancer
@@ -75,7 +76,7 @@
 	c := &connection{
 		frontend: f,
 		conn:     transportConn,
-		decoder:  protocol.Decoder{MaxBody: f.config.Load().MaxBodyBytes},
+		decoder:  protocol.Decoder{MaxBody: f.config.Load().MaxBodyBytes, Reserve: transportConn.ReserveInput},
 	}
 	f.connections.Add(c)
 	defer f.connections.Remove(c)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -44,6 +44,10 @@
 //	quincerail_unanswered_at_end_total{reason}  requests without a response when their connection closed
 //	quincerail_discarded_bytes_total{reason}    bytes read and discarded when their connection closed
 //	quincerail_connections{listener}                         open connections, including one that waits for a slot
+//	quincerail_input_bytes                                   memory for messages that have not arrived completely
+//	quincerail_input_limit_bytes                             limit on that memory
+//	quincerail_input_reclaimed_total                         connections closed to give their memory for input to others
+//	quincerail_input_rejected_total                          messages rejected because no memory for input was left
 //	quincerail_connections_limit{listener}                   limit on open connections
 //	quincerail_connections_over_limit_total{listener}        connections accepted over the limit, to shed their requests
 //	quincerail_connections_withheld_total{listener,withheld} connections closed because their peers withheld the first
@@ -62,7 +66,7 @@
 //	quincerail_fleet_answers{kind}          final responses of the whole fleet, as far as this member knows
 //	quincerail_fleet_stale_total            updates of the dependency's health that were rejected for a stale fencing token
 //
-// RegisterFleet, RegisterRules, RegisterListener and the first SetClasses must be called before
+// RegisterFleet, RegisterRules, RegisterListener, RegisterInput and the first SetClasses must be called before
 // the first request. Only one goroutine at a time may call SetClasses. The other methods may be called
 // from any goroutine.
 type Recorder struct {
@@ -192,6 +196,21 @@
 	}
 }
 
+// RegisterInput adds the collectors of the memory for the connections' input. stats returns its
+// current counts.
+func (r *Recorder) RegisterInput(stats func() transport.InputStats) {
+	r.registry.MustRegister(
+		newGauge("quincerail_input_bytes", "Memory for messages that have not arrived completely, on all listeners.",
+			nil, func() float64 { return float64(stats().Used) }),
+		newGauge("quincerail_input_limit_bytes", "Limit on the memory for messages that have not arrived completely.",
+			nil, func() float64 { return float64(stats().Capacity) }),
+		newCounter("quincerail_input_reclaimed_total", "Connections closed to give their memory for input to others.",
+			nil, func() float64 { return float64(stats().Reclaimed) }),
+		newCounter("quincerail_input_rejected_total", "Messages rejected because no memory for input was left.",
+			nil, func() float64 { return float64(stats().Rejected) }),
+	)
+}
+
 // ConnectionClosed counts a closed connection. unanswered is the number of requests on it that
 // had no response when it closed.
 func (r *Recorder) ConnectionClosed(end transport.CloseInfo, unanswered int) {
--- a/protocol/uwsgi/request.go
+++ b/protocol/uwsgi/request.go
@@ -18,9 +18,14 @@
 	// bytes.
 	maxVarsSize = 0xffff
 
-	// readChunk is the number of bytes read at a time. The decoder grows its buffer by the
-	// bytes that have arrived, and never allocates the length that a packet states.
-	readChunk = 4 << 10
+	// minBuffer is the size of the decoder's first buffer, in bytes. The decoder doubles its
+	// buffer when the bytes that have arrived fill it, and never allocates the length that a
+	// packet states.
+	minBuffer = 4 << 10
+
+	// decodedVarBytes is the memory for one variable of a decoded request beside its bytes: its
+	// two string headers in the Request, and again where the request is passed on.
+	decodedVarBytes = 64
 
 	contentLength = "CONTENT_LENGTH"
 )
@@ -56,10 +61,16 @@
 type Decoder struct {
 	MaxBody int // in bytes; for a larger body, the error of Read wraps ErrTooLarge
 
+	// Reserve, if not nil, is called before the decoder's memory grows, with the bytes that it
+	// needs in all. Read returns its error.
+	Reserve func(bytes int) error
+
 	started  bool
 	stage    stage
 	partSize int    // size of the part that is being read, in bytes
 	buf      []byte // the bytes of that part that have arrived
+	vars     string // the variables, encoded; they are decoded once the body has arrived
+	varCount int
 	req      Request
 }
 
@@ -79,18 +90,38 @@
 		if err := d.fill(r); err != nil {
 			return nil, err
 		}
-		if err := d.parseVars(); err != nil {
+		if err := d.scanVars(); err != nil {
 			return nil, err
 		}
-		d.buf, d.stage = nil, readingBody
+		d.stage = readingBody
 	}
 	if err := d.fill(r); err != nil {
 		return nil, err
 	}
+	if err := d.decodeVars(); err != nil {
+		return nil, err
+	}
 	d.req.Body = d.buf
 	return &d.req, nil
 }
 
+// Discard discards the bytes of an incomplete request, and reports whether there was one. Read
+// must not be called after that.
+func (d *Decoder) Discard() bool {
+	isIncomplete := d.started && d.req.Vars == nil
+	d.buf, d.vars = nil, ""
+	return isIncomplete
+}
+
+// Size returns the memory that a request takes once it is decoded, in bytes.
+func (r *Request) Size() int {
+	size := len(r.Body) + len(r.Vars)*decodedVarBytes
+	for _, v := range r.Vars {
+		size += len(v.Name) + len(v.Value)
+	}
+	return size
+}
+
 // readHeader reads a packet's header. The error wraps ErrMalformed if the first modifier is not
 // supported.
 func (d *Decoder) readHeader(r *bufio.Reader) error {
@@ -113,10 +144,12 @@
 
 // fill reads until the current part is complete.
 func (d *Decoder) fill(r *bufio.Reader) error {
-	var chunk [readChunk]byte
 	for len(d.buf) < d.partSize {
-		n, err := r.Read(chunk[:min(readChunk, d.partSize-len(d.buf))])
-		d.buf = append(d.buf, chunk[:n]...)
+		if err := d.grow(); err != nil {
+			return err
+		}
+		n, err := r.Read(d.buf[len(d.buf):min(cap(d.buf), d.partSize)])
+		d.buf = d.buf[:len(d.buf)+n]
 		if err != nil && len(d.buf) < d.partSize {
 			return readError(err, true)
 		}
@@ -124,6 +157,26 @@
 	return nil
 }
 
+// grow doubles the buffer if it is full.
+func (d *Decoder) grow() error {
+	if len(d.buf) < cap(d.buf) {
+		return nil
+	}
+	size := min(d.partSize, max(minBuffer, 2*cap(d.buf)))
+	if err := d.reserve(size + len(d.vars)); err != nil {
+		return err
+	}
+	d.buf = append(make([]byte, 0, size), d.buf...)
+	return nil
+}
+
+func (d *Decoder) reserve(bytes int) error {
+	if d.Reserve == nil {
+		return nil
+	}
+	return d.Reserve(bytes)
+}
+
 // readError returns the error of a read. It replaces io.EOF by an error that wraps
 // io.ErrUnexpectedEOF if a part of the request has arrived.
 func readError(err error, started bool) error {
@@ -133,43 +186,77 @@
 	return err
 }
 
-// parseVars parses the variables, and sets partSize to the length of the body.
-func (d *Decoder) parseVars() error {
-	for rest := d.buf; len(rest) > 0; {
-		name, afterName, hasName := cutString(rest)
-		value, afterValue, hasValue := cutString(afterName)
-		if !hasName || !hasValue || name == "" {
+// scanVars checks and counts the variables, and sets partSize to the length of the body.
+func (d *Decoder) scanVars() error {
+	if err := d.reserve(2 * len(d.buf)); err != nil { // for the string and the buffer that it is made from
+		return err
+	}
+	d.vars, d.buf = string(d.buf), nil
+	length, hasLength := "", false
+	for rest := d.vars; len(rest) > 0; d.varCount++ {
+		v, afterVar, ok := cutVar(rest)
+		if !ok {
 			return fmt.Errorf("%w: variables end inside one", ErrMalformed)
 		}
-		d.req.Vars = append(d.req.Vars, Var{name, value})
-		rest = afterValue
+		if v.Name == contentLength && !hasLength {
+			length, hasLength = v.Value, true
+		}
+		rest = afterVar
 	}
+	return d.setBodySize(length)
+}
+
+// setBodySize sets partSize to the value of CONTENT_LENGTH, which is empty if there is no body.
+func (d *Decoder) setBodySize(length string) error {
 	d.partSize = 0
-	if length := d.req.Get(contentLength); length != "" {
-		n, err := strconv.ParseUint(length, 10, 63)
-		if err != nil {
-			return fmt.Errorf("%w: CONTENT_LENGTH %q", ErrMalformed, length)
-		}
-		if n > uint64(d.MaxBody) {
-			return fmt.Errorf("%w: a body of %d bytes, %d at most", ErrTooLarge, n, d.MaxBody)
-		}
-		d.partSize = int(n)
+	if length == "" {
+		return nil
+	}
+	n, err := strconv.ParseUint(length, 10, 63)
+	if err != nil {
+		return fmt.Errorf("%w: CONTENT_LENGTH %q", ErrMalformed, length)
 	}
+	if n > uint64(d.MaxBody) {
+		return fmt.Errorf("%w: a body of %d bytes, %d at most", ErrTooLarge, n, d.MaxBody)
+	}
+	d.partSize = int(n)
 	return nil
 }
 
-// cutString splits b after a string that is preceded by its length. ok is false if b does not
-// hold the whole string.
-func cutString(b []byte) (s string, rest []byte, ok bool) {
+// decodeVars decodes the variables, which scanVars has checked.
+func (d *Decoder) decodeVars() error {
+	if err := d.reserve(len(d.vars) + cap(d.buf) + d.varCount*decodedVarBytes); err != nil {
+		return err
+	}
+	d.req.Vars = make([]Var, 0, d.varCount)
+	for rest := d.vars; len(rest) > 0; {
+		v, afterVar, _ := cutVar(rest)
+		d.req.Vars = append(d.req.Vars, v)
+		rest = afterVar
+	}
+	return nil
+}
+
+// cutVar splits encoded variables after the first one. ok is false if s does not start with a
+// whole variable that has a name.
+func cutVar(s string) (v Var, rest string, ok bool) {
+	name, afterName, hasName := cutString(s)
+	value, afterValue, hasValue := cutString(afterName)
+	return Var{name, value}, afterValue, hasName && hasValue && name != ""
+}
+
+// cutString splits encoded after a string that is preceded by its length. ok is false if
+// encoded does not hold the whole string.
+func cutString(encoded string) (s, rest string, ok bool) {
 	const lengthSize = 2
-	if len(b) < lengthSize {
-		return "", nil, false
+	if len(encoded) < lengthSize {
+		return "", "", false
 	}
-	end := lengthSize + int(binary.LittleEndian.Uint16(b))
-	if len(b) < end {
-		return "", nil, false
+	end := lengthSize + int(encoded[0]) + int(encoded[1])<<8 // little-endian
+	if len(encoded) < end {
+		return "", "", false
 	}
-	return string(b[lengthSize:end]), b[end:], true
+	return encoded[lengthSize:end], encoded[end:], true
 }
 
 // AppendRequest appends a packet and its body to dst. It sets CONTENT_LENGTH to the length of
--- a/server/export_test.go
+++ b/server/export_test.go
@@ -1,5 +1,7 @@
 package server
 
+import "quincerail.example/quincerail/transport"
+
 // init gives the cores of this package's tests a mailbox without any room: a core that waits
 // for itself, also by way of another goroutine's lock, hangs at once.
 func init() { mailboxCapacity = -1 }
@@ -10,3 +12,6 @@
 	s.closeListeners()
 	s.stop()
 }
+
+// InputStats returns the use of the memory for the connections' input.
+func (s *Server) InputStats() transport.InputStats { return s.input.budget.Stats() }
--- a/server/server.go
+++ b/server/server.go
@@ -89,6 +89,7 @@
 	listeners     []listener           // of the frontends; the first is the Thrift frontend's
 	commandServer *transport.Server    // for operators' commands
 	monitored     []*monitoredListener // the frontends' listeners and that for commands
+	input         *inputMonitor        // nil if the configuration does not limit the memory
 	httpServers   []*http.Server       // for metrics and the operators' HTTP endpoints
 	metricsAddr   net.Addr
 
--- a/server/start.go
+++ b/server/start.go
@@ -76,6 +76,7 @@
 		s.rules.Replace(c.Rules)
 	}
 	s.createObservers(c)
+	s.createInputBudget(c)
 	return s
 }
 
--- a/server/withheld.go
+++ b/server/withheld.go
@@ -42,6 +42,7 @@
 		for _, l := range s.monitored {
 			s.reportListener(l)
 		}
+		s.reportInput()
 	}
 }
 
--- a/transport/conn.go
+++ b/transport/conn.go
@@ -14,6 +14,10 @@
 	// readBufferSize bounds the size of a message, because a handler peeks at all of it.
 	readBufferSize = 16 << 10
 
+	// initialReadBufferSize is the size of the read buffer of a connection with an InputBudget
+	// until a message does not fit into it.
+	initialReadBufferSize = 4 << 10
+
 	// maxQueuedBytes bounds the bytes queued for a peer. Beyond it the connection is aborted.
 	maxQueuedBytes = 512 << 10
 
@@ -51,13 +55,15 @@
 	onClose          func(error)          // called when reading has ended; may be nil
 	handlerKeepsPart func() bool          // nil if the handler leaves a partial message in the buffer
 	lingerTimeout    time.Duration
-	overLimit        bool // accepted over the limit of its Server
+	overLimit        bool         // accepted over the limit of its Server
+	inputBudget      *InputBudget // nil if the memory for its input is not limited
 
 	// Used only by the goroutine of Serve.
 	socketDrained bool        // the last read found the socket empty
 	readCommand   connCommand // the command that was set when the last read began
 	readBeganAt   time.Time   // when the last read began
 	closeInfo     CloseInfo
+	handlerBytes  int // see ReserveInput
 
 	mu              sync.Mutex
 	serving         bool // Serve was called
@@ -77,17 +83,22 @@
 
 // NewConn returns a Conn for a network connection. The caller must call Serve, which closes
 // it.
-func NewConn(nc net.Conn) *Conn {
+func NewConn(nc net.Conn) *Conn { return newConn(nc, readBufferSize) }
+
+// newConn is NewConn with a read buffer of the given size.
+func newConn(nc net.Conn, bufferSize int) *Conn {
 	now := time.Now()
 	src := newSource(nc, now)
 	c := &Conn{
-		netConn: nc, source: src, reader: bufio.NewReaderSize(src, readBufferSize),
+		netConn: nc, source: src, reader: newReader(src, bufferSize),
 		createdAt: now, lastActive: now, lingerTimeout: defaultLingerTimeout,
 	}
 	src.hasPartialMessage = c.hasPartialMessage
 	return c
 }
 
+func newReader(src *source, size int) *bufio.Reader { return bufio.NewReaderSize(src, size) }
+
 // SetReceiveTimeouts sets how long the peer may take after its connect to start its first
 // message, and how long an incomplete message may go without another byte. After these times
 // the connection closes with ReadTimeout, but not while pending reports that responses are
--- a/transport/ending.go
+++ b/transport/ending.go
@@ -25,7 +25,9 @@
 	Abandoned   CloseReason = "abandoned"    // Abandon was called, or the Server reclaimed the connection; no response was pending
 	Closed      CloseReason = "closed"       // Close was called
 	WriteFailed CloseReason = "write_failed" // queued bytes could not be written, or an abort interrupted the write
-	Aborted     CloseReason = "cut_off"      // Abort was called, or the peer left too many bytes unread; no write was interrupted
+	// InputRejected: no memory was left for a message that had not arrived completely.
+	InputRejected CloseReason = "input_rejected"
+	Aborted       CloseReason = "cut_off" // Abort was called, or the peer left too many bytes unread; no write was interrupted
 )
 
 // IsLocal reports whether this process closed the connection, and not an action of its peer.
--- a/transport/serve.go
+++ b/transport/serve.go
@@ -43,6 +43,10 @@
 			c.messageReceived()
 		case errors.Is(err, ErrMessageSkipped):
 			c.messageSkipped()
+		case errors.Is(err, bufio.ErrBufferFull) && c.inputBudget != nil && c.reader.Size() < readBufferSize:
+			if err := c.growReader(); err != nil {
+				return c.halfClose(InputRejected, err)
+			}
 		case errors.Is(err, os.ErrDeadlineExceeded):
 			c.socketDrained = nonBlocking && !c.source.lastReadFailed()
 			if reason := c.decideClose(); reason != "" {
@@ -99,6 +103,10 @@
 // commandCloseIfIdle, commandAbandon and the timeout of the message.
 func (c *Conn) messageReceived() {
 	c.closeInfo.Messages++
+	if c.inputBudget != nil {
+		c.shrinkReader()
+		c.inputBudget.keep(c)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.lastActive, c.receivedMessage = time.Now(), true
--- a/transport/server.go
+++ b/transport/server.go
@@ -45,7 +45,8 @@
 	serveConn        func(*Conn)
 	nearCapacity     func()
 	onAcceptFailures func(lastErr error, failures int)
-	boundWaits       bool // see BoundWaits
+	boundWaits       bool         // see BoundWaits
+	inputBudget      *InputBudget // see LimitInput; may be nil
 
 	// Used only by the goroutine that accepts connections.
 	lastReclaim      time.Time // when reclaimConns last searched
@@ -90,6 +91,20 @@
 // anything. BoundWaits must be called before Serve.
 func (s *Server) BoundWaits() { s.boundWaits = true }
 
+// LimitInput makes the connections' input count against a budget, which several servers may
+// share. LimitInput must be called before Serve.
+func (s *Server) LimitInput(budget *InputBudget) { s.inputBudget = budget }
+
+// newConn returns the Conn for an accepted connection.
+func (s *Server) newConn(nc net.Conn) *Conn {
+	if s.inputBudget == nil {
+		return NewConn(nc)
+	}
+	c := newConn(nc, initialReadBufferSize)
+	c.inputBudget = s.inputBudget
+	return c
+}
+
 // OnAcceptFailures sets a function that is called after a series of failed accepts, with
 // the last error and the number of failures: when an accept succeeds again, or when Serve
 // stops accepting. It must be called before Serve.
@@ -148,7 +163,7 @@
 
 // startConn waits for a slot and then serves the connection in a goroutine of its own.
 func (s *Server) startConn(nc net.Conn) {
-	c := NewConn(nc)
+	c := s.newConn(nc)
 	admitted, overLimit := s.acquireSlot(c)
 	if !admitted {
 		_ = nc.Close() // the connection is refused either way
@@ -156,8 +171,14 @@
 	}
 	c.overLimit = overLimit
 	s.trackConn(c)
+	if c.inputBudget != nil {
+		c.inputBudget.add(c)
+	}
 	go func() {
 		s.serveConn(c)
+		if c.inputBudget != nil {
+			c.inputBudget.remove(c)
+		}
 		s.untrackConn(c)
 		s.releaseSlot()
 	}()
--- a/transport/source.go
+++ b/transport/source.go
@@ -16,9 +16,10 @@
 // goroutines read.
 type source struct {
 	netConn             net.Conn
-	nonBlocking         bool  // Read returns only bytes that have already arrived
-	streamErr           error // the error that ended the stream
-	consecutiveFailures int   // consecutive reads that failed and were retried
+	nonBlocking         bool   // Read returns only bytes that have already arrived
+	unread              []byte // bytes that Read returns before those of netConn
+	streamErr           error  // the error that ended the stream
+	consecutiveFailures int    // consecutive reads that failed and were retried
 
 	hasPartialMessage func() bool // reports whether a part of a message is buffered
 	lastByteAt        instant     // when bytes were last read; zero if none were
@@ -44,6 +45,11 @@
 // if it must not block and nothing has arrived, or if it failed with an error that the
 // caller is to retry. lastReadFailed identifies the last case.
 func (s *source) Read(p []byte) (n int, err error) {
+	if len(s.unread) > 0 {
+		n = copy(p, s.unread)
+		s.unread = s.unread[n:]
+		return n, nil
+	}
 	partial := s.hasPartialMessage()
 	if s.nonBlocking {
 		n, err = readNonBlocking(s.netConn, p)
