--- a/dispatch/health.go
+++ b/dispatch/health.go
@@ -15,7 +15,8 @@
 	// cached is set if all checks are answered from healthy: deep checks don't check the
 	// machine.
 	cached          bool
-	trafficDisabled bool // set by operators
+	trafficDisabled bool       // set by operators
+	deepCheck       *deepCheck // that waits for the machine's report; nil for none
 }
 
 // SetHealth sets the answer to health checks.
@@ -62,7 +63,12 @@
 		e.reply(c.shouldReceiveTraffic())
 		return
 	}
-	check := &deepCheck{reply: e.reply}
+	if check := c.health.deepCheck; check != nil {
+		check.replies = append(check.replies, e.reply)
+		return
+	}
+	check := &deepCheck{replies: []func(bool){e.reply}}
+	c.health.deepCheck = check
 	timeout := time.AfterFunc(maxDeepCheckWait, func() { c.report(deepCheckCompleted{check, false}) })
 	c.options.Machine.CheckHealth(func(healthy bool) {
 		timeout.Stop()
@@ -70,10 +76,10 @@
 	})
 }
 
-// deepCheck is a deep health check that waits for the machine's report.
+// deepCheck is a check of the machine. Deep health checks that arrive before its report share it,
+// because each costs the machine work.
 type deepCheck struct {
-	reply    func(healthy bool)
-	answered bool
+	replies []func(healthy bool)
 }
 
 type deepCheckCompleted struct {
@@ -82,9 +88,12 @@
 }
 
 func (e deepCheckCompleted) apply(c *Core) {
-	if !e.check.answered {
-		e.check.answered = true
-		e.check.reply(e.healthy && c.shouldReceiveTraffic())
+	if c.health.deepCheck != e.check {
+		return // it has its report, or has timed out
+	}
+	c.health.deepCheck = nil
+	for _, reply := range e.check.replies {
+		reply(e.healthy && c.shouldReceiveTraffic())
 	}
 }
 
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -26,17 +26,17 @@
 	current := c.currentSettings.Load()
 	class, ok := current.classes.indexOf[r.Class]
 	if !ok {
-		return fmt.Errorf("class %q is not known", r.Class)
+		return fmt.Errorf("class %.64q is not known", r.Class)
 	}
 	if err := r.checkKey(current.classes.items[class].Idempotency); err != nil {
 		return err
 	}
 	tenant, ok := current.tenantIndex(r.Tenant)
 	if !ok {
-		return fmt.Errorf("tenant %q is not known", r.Tenant)
+		return fmt.Errorf("tenant %.64q is not known", r.Tenant)
 	}
 	if r.ID == "" || !(r.ReservedKB > 0) {
-		return fmt.Errorf("id %q, memory %v: both are needed", r.ID, r.ReservedKB)
+		return fmt.Errorf("id %.64q, memory %v: both are needed", r.ID, r.ReservedKB)
 	}
 	return c.enqueue(requestReceived{r, class, tenant})
 }
--- a/frontend/thrift/connection.go
+++ b/frontend/thrift/connection.go
@@ -25,9 +25,12 @@
 	methodInterrupt = "interrupt"
 )
 
-// maxOpenRequests bounds the open requests on one connection.
+// maxOpenRequests bounds the open requests and health checks on one connection.
 const maxOpenRequests = 32
 
+// errTooManyOpen rejects a call beyond maxOpenRequests.
+var errTooManyOpen = fmt.Errorf("over %d open requests", maxOpenRequests)
+
 // noRetryElsewhereSet is the value of protocol.FieldNoRetryElsewhere when it is set. If it is
 // not set, the field is absent.
 const noRetryElsewhereSet = "1"
@@ -161,11 +164,9 @@
 	c.validMessages++
 	switch {
 	case m.Name == methodExecute && m.Type == protocol.Call:
-		if err := c.execute(m); err != nil {
-			c.sendException(m.Header, protocol.ProtocolError, err.Error())
-		}
+		return c.respondToError(m, c.execute(m))
 	case m.Name == methodCheck && m.Type == protocol.Call:
-		c.checkHealth(m)
+		return c.respondToError(m, c.checkHealth(m))
 	case m.Name == methodInterrupt && m.Type == protocol.Oneway:
 		c.cancelRequest(m.CanceledSeq)
 	case m.Type == protocol.Call:
@@ -174,6 +175,25 @@
 	return nil
 }
 
+// respondToError sends an exception for a call that was not carried out because of err, if that is
+// not nil. A peer that keeps exceeding maxOpenRequests is not read any further: respondToError
+// then returns an error that closes the connection.
+func (c *connection) respondToError(m *protocol.Message, err error) error {
+	if err == nil {
+		return nil
+	}
+	c.sendException(m.Header, protocol.ProtocolError, err.Error())
+	if !errors.Is(err, errTooManyOpen) {
+		return nil
+	}
+	c.invalidMessages++
+	c.monitor.RecordDenial(guard.LostRequest, err, "")
+	if denied := guard.MayContinue(c.guardInput()); denied != nil {
+		return fmt.Errorf("%w: %w", denied, err)
+	}
+	return nil
+}
+
 // execute submits the request of a call to the core, which calls Respond once. If execute
 // returns an error, the request was not submitted and Respond is not called.
 func (c *connection) execute(m *protocol.Message) error {
@@ -193,9 +213,14 @@
 	return nil
 }
 
-// checkHealth responds to a health check.
-func (c *connection) checkHealth(m *protocol.Message) {
+// checkHealth responds to a health check. It returns an error, and does not respond, if too many
+// requests and checks are open.
+func (c *connection) checkHealth(m *protocol.Message) error {
 	c.mu.Lock()
+	if err := c.checkOpenLocked(); err != nil {
+		c.mu.Unlock()
+		return err
+	}
 	c.pendingChecks++
 	c.mu.Unlock()
 	respond := func(healthy bool) {
@@ -207,6 +232,16 @@
 	if c.core.CheckHealth(m.Probe, respond) != nil { // the core has stopped
 		respond(false)
 	}
+	return nil
+}
+
+// checkOpenLocked returns an error if no further request or check may be opened. The caller holds
+// mu.
+func (c *connection) checkOpenLocked() error {
+	if len(c.seqByRequest)+c.pendingChecks >= maxOpenRequests {
+		return errTooManyOpen
+	}
+	return nil
 }
 
 // cancelRequest cancels the request of a call if it is open. The call then gets no reply.
@@ -227,8 +262,8 @@
 func (c *connection) addOpenRequest(id string, seq int32) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if len(c.seqByRequest) >= maxOpenRequests {
-		return fmt.Errorf("over %d open requests", maxOpenRequests)
+	if err := c.checkOpenLocked(); err != nil {
+		return err
 	}
 	if _, ok := c.seqByRequest[id]; ok {
 		return fmt.Errorf("%s %q is open", protocol.FieldAttemptID, id)
--- a/frontend/thrift/request.go
+++ b/frontend/thrift/request.go
@@ -28,7 +28,7 @@
 }
 
 // Error implements error. The text is sent to the peer.
-func (e *FieldError) Error() string { return fmt.Sprintf("%s %q", e.Field, e.Value) }
+func (e *FieldError) Error() string { return fmt.Sprintf("%s %.64q", e.Field, e.Value) }
 
 // parseRequest returns the request of an execute call. The error is m.Err if the message has
 // one, else a *FieldError.
--- a/transport/input_budget.go
+++ b/transport/input_budget.go
@@ -1,6 +1,7 @@
 package transport
 
 import (
+	"bufio"
 	"errors"
 	"sync"
 	"time"
@@ -210,6 +211,12 @@
 	return c.inputBudget.reserve(c, c.handlerBytes+c.reader.Size())
 }
 
+// needsLargerBuffer reports whether the handler has returned err because a message does not fit
+// into a read buffer that may grow.
+func (c *Conn) needsLargerBuffer(err error) bool {
+	return errors.Is(err, bufio.ErrBufferFull) && c.inputBudget != nil && c.reader.Size() < readBufferSize
+}
+
 // growReader replaces the read buffer by one for messages of the maximum size. The error is
 // ErrInputBudget if the process has no memory left for it.
 func (c *Conn) growReader() error {
--- a/transport/serve.go
+++ b/transport/serve.go
@@ -29,13 +29,13 @@
 		if err := c.flush(); err != nil {
 			return c.recordWriteFailure(err)
 		}
+		if c.awaitTurn() {
+			continue
+		}
 		if c.prepareRead() {
 			return c.halfClose(Closed, nil)
 		}
-		err := c.awaitMessage()
-		if err == nil {
-			err = handler(c.reader)
-		}
+		err := c.handleMessage(handler)
 		nonBlocking := c.source.nonBlocking
 		c.source.nonBlocking = false
 		switch {
@@ -43,7 +43,7 @@
 			c.messageReceived()
 		case errors.Is(err, ErrMessageSkipped):
 			c.messageSkipped()
-		case errors.Is(err, bufio.ErrBufferFull) && c.inputBudget != nil && c.reader.Size() < readBufferSize:
+		case c.needsLargerBuffer(err):
 			if err := c.growReader(); err != nil {
 				return c.halfClose(InputRejected, err)
 			}
@@ -79,6 +79,14 @@
 	return c.command == commandClose
 }
 
+// handleMessage waits for a message and calls the handler.
+func (c *Conn) handleMessage(handler func(r *bufio.Reader) error) error {
+	if err := c.awaitMessage(); err != nil {
+		return err
+	}
+	return handler(c.reader)
+}
+
 // awaitMessage waits for the first byte of a message and starts the timeout of the message.
 func (c *Conn) awaitMessage() error {
 	if c.stallTimeout == 0 {
@@ -103,6 +111,7 @@
 // commandCloseIfIdle, commandAbandon and the timeout of the message.
 func (c *Conn) messageReceived() {
 	c.closeInfo.Messages++
+	c.source.turn.countMessage()
 	if c.inputBudget != nil {
 		c.shrinkReader()
 		c.inputBudget.keep(c)
@@ -122,6 +131,7 @@
 
 // messageSkipped records that the handler has discarded bytes that are not a message.
 func (c *Conn) messageSkipped() {
+	c.source.turn.countMessage()
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.source.resetMessageTimes()
--- a/transport/server.go
+++ b/transport/server.go
@@ -97,11 +97,12 @@
 
 // newConn returns the Conn for an accepted connection.
 func (s *Server) newConn(nc net.Conn) *Conn {
-	if s.inputBudget == nil {
-		return NewConn(nc)
+	bufferSize := readBufferSize
+	if s.inputBudget != nil {
+		bufferSize = initialReadBufferSize
 	}
-	c := newConn(nc, initialReadBufferSize)
-	c.inputBudget = s.inputBudget
+	c := newConn(nc, bufferSize)
+	c.inputBudget, c.source.turn.isLimited = s.inputBudget, true
 	return c
 }
 
--- a/transport/source.go
+++ b/transport/source.go
@@ -17,6 +17,7 @@
 type source struct {
 	netConn             net.Conn
 	nonBlocking         bool   // Read returns only bytes that have already arrived
+	turn                turn   // bounds what the connection may take
 	unread              []byte // bytes that Read returns before those of netConn
 	streamErr           error  // the error that ended the stream
 	consecutiveFailures int    // consecutive reads that failed and were retried
@@ -51,6 +52,9 @@
 		return n, nil
 	}
 	partial := s.hasPartialMessage()
+	if s.turn.bytes >= maxTurnBytes { // within a message, else awaitTurn has waited
+		time.Sleep(s.turn.remaining())
+	}
 	if s.nonBlocking {
 		n, err = readNonBlocking(s.netConn, p)
 	} else {
@@ -60,6 +64,7 @@
 		s.lastReadAt = time.Now()
 	}
 	if n > 0 {
+		s.turn.countBytes(n)
 		if partial {
 			s.partialReadAt = s.lastReadAt
 		}
