--- a/frontend/thrift/connection.go
+++ b/frontend/thrift/connection.go
@@ -195,12 +195,17 @@
 }
 
 // execute submits the request of a call to the core, which calls Respond once. If execute
-// returns an error, the request was not submitted and Respond is not called.
+// returns an error, the request was not submitted and Respond is not called. A request that was
+// not read before the peer closed the connection is shed: its sender may have left.
 func (c *connection) execute(m *protocol.Message) error {
 	request, err := c.parseRequest(m)
 	if err != nil {
 		return err
 	}
+	if c.conn.PeerClosed() {
+		c.conn.Send(protocol.AppendShed(nil, m.Seq, c.shedFields(dispatch.Outcome{Kind: dispatch.Shed})))
+		return nil
+	}
 	if err := c.addOpenRequest(request.ID, m.Seq); err != nil {
 		return err
 	}
--- a/frontend/uwsgi/connection.go
+++ b/frontend/uwsgi/connection.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"io"
 	"net/http"
 	"os"
 	"strings"
@@ -86,6 +87,8 @@
 	abandoned := errors.Is(cause, transport.ErrAbandoned)
 	timedOut := errors.Is(cause, os.ErrDeadlineExceeded)
 	switch {
+	case requestRead && errors.Is(cause, io.EOF):
+		c.failDisconnected()
 	case requestRead:
 	case graceOver && started && (abandoned || timedOut):
 		c.reject(0)
@@ -95,6 +98,15 @@
 	}
 }
 
+// failDisconnected reports to the core that the caller has closed its write side, and responds
+// that the request has failed, in case the caller still reads.
+func (c *connection) failDisconnected() {
+	if id, unanswered := c.unansweredRequest(); unanswered {
+		c.frontend.core.CallerDisconnected(id, c)
+		c.respond(http.StatusBadGateway)
+	}
+}
+
 // discardIncomplete gives back the memory of an incomplete request when its connection closes.
 func (c *connection) discardIncomplete() {
 	if c.decoder.Discard() {
@@ -137,6 +149,10 @@
 		c.respond(http.StatusNotFound)
 		return
 	}
+	if c.conn.PeerClosed() { // the request was not read before that; its sender may have left
+		c.reject(0)
+		return
+	}
 	payload := requestPayload(r)
 	err := c.frontend.core.Submit(dispatch.Request{
 		ID:         id,
--- a/transport/arrival.go
+++ b/transport/arrival.go
@@ -46,6 +46,14 @@
 	return max(0, time.Duration(ms)*time.Millisecond-kernelTimeResolution)
 }
 
+// PeerClosed reports whether the peer has closed the connection or its write side. Messages that
+// were not read before that are not to be forwarded, because their sender may have left. The
+// result is false if the system does not say.
+func (c *Conn) PeerClosed() bool {
+	info := tcpInfo(c.netConn)
+	return info != nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+}
+
 // tcpInfo returns the kernel's information about a TCP connection, or nil if there is none.
 func tcpInfo(nc net.Conn) (info *unix.TCPInfo) {
 	sc, ok := nc.(syscall.Conn)
