--- a/admission/server.go
+++ b/admission/server.go
@@ -48,6 +48,7 @@
 	stats       counters
 	connections connections
 	workers     workers
+	input       *inputMemory
 }
 
 // New starts a server; Close stops it. The error names the invalid field of the configuration.
@@ -73,7 +74,7 @@
 	core.BackendReady(false, 0)
 	return &Server{
 		cfg: cfg, table: cfg.Routes.Compile(), core: core, stop: stop,
-		workers: workers{jobs: make(chan job), done: ctx.Done()},
+		workers: workers{jobs: make(chan job), done: ctx.Done()}, input: newInputMemory(cfg.Memory, cfg.Logger),
 	}, nil
 }
 
