--- a/fleet/rafttransport/frame.go
+++ b/fleet/rafttransport/frame.go
@@ -2,7 +2,9 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/binary"
+	"errors"
 	"fmt"
 	"io"
 )
@@ -10,6 +12,7 @@
 const (
 	frameHeaderBytes = 4
 	maxFrameBytes    = 1 << 20
+	maxHelloBytes    = 4 << 10 // of the first frame of a connection, whose sender is unknown
 )
 
 // FrameTooLargeError reports a frame header with a length above the limit.
@@ -25,20 +28,27 @@
 // ReadFrame reads one frame and returns its payload. It returns a
 // *FrameTooLargeError if the frame's length is above the limit, and wraps errors
 // of the reader.
-func ReadFrame(r *bufio.Reader) ([]byte, error) {
+func ReadFrame(r *bufio.Reader) ([]byte, error) { return readFrame(r, maxFrameBytes) }
+
+// readFrame is ReadFrame with a limit on the frame's length. It allocates memory as the payload
+// arrives, not for the length that the header states.
+func readFrame(r *bufio.Reader, limit uint32) ([]byte, error) {
 	var header [frameHeaderBytes]byte
 	if _, err := io.ReadFull(r, header[:]); err != nil {
 		return nil, fmt.Errorf("rafttransport: read frame header: %w", err)
 	}
 	length := binary.BigEndian.Uint32(header[:])
-	if length > maxFrameBytes {
-		return nil, &FrameTooLargeError{Bytes: length, Limit: maxFrameBytes}
+	if length > limit {
+		return nil, &FrameTooLargeError{Bytes: length, Limit: limit}
 	}
-	payload := make([]byte, length)
-	if _, err := io.ReadFull(r, payload); err != nil {
+	payload := bytes.NewBuffer(make([]byte, 0, min(length, maxHelloBytes)))
+	if _, err := io.CopyN(payload, r, int64(length)); err != nil {
+		if errors.Is(err, io.EOF) {
+			err = io.ErrUnexpectedEOF
+		}
 		return nil, fmt.Errorf("rafttransport: read frame of %d bytes: %w", length, err)
 	}
-	return payload, nil
+	return payload.Bytes(), nil
 }
 
 // AppendFrame appends a frame with the payload to b and returns the extended
--- a/fleet/rafttransport/receiver.go
+++ b/fleet/rafttransport/receiver.go
@@ -19,7 +19,7 @@
 				continue
 			}
 		}
-		if !t.trackConn(conn) {
+		if !t.trackInbound(conn) {
 			t.closeQuietly(conn)
 			continue
 		}
@@ -30,6 +30,47 @@
 	}
 }
 
+// trackInbound is trackConn for an accepted connection. If there are too many connections, it
+// closes the one that has been without a Hello for the longest time, so that clients that say
+// nothing do not keep a voter out.
+func (t *Transport) trackInbound(conn net.Conn) bool {
+	if !t.trackConn(conn) && (!t.closeOldestSilent() || !t.trackConn(conn)) {
+		return false
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.awaitingHello[conn] = time.Now()
+	return true
+}
+
+// closeOldestSilent closes the connection that has been without a Hello for the longest time. It
+// returns false if there is none.
+func (t *Transport) closeOldestSilent() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var oldest net.Conn
+	for conn, since := range t.awaitingHello {
+		if oldest == nil || since.Before(t.awaitingHello[oldest]) {
+			oldest = conn
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	t.closeQuietly(oldest)
+	delete(t.awaitingHello, oldest)
+	delete(t.conns, oldest)
+	t.log.Warn("fleet_connection_reclaimed", "connections", len(t.conns))
+	return true
+}
+
+// helloReceived records that a connection is no longer closed in favour of others.
+func (t *Transport) helloReceived(conn net.Conn) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	delete(t.awaitingHello, conn)
+}
+
 // receive passes the messages of an inbound connection to Options.Receive until
 // the connection is closed or fails.
 func (t *Transport) receive(conn net.Conn) {
@@ -52,7 +93,7 @@
 	if err := conn.SetReadDeadline(time.Now().Add(helloTimeout)); err != nil {
 		return false
 	}
-	frame, err := ReadFrame(reader)
+	frame, err := readFrame(reader, maxHelloBytes)
 	if err != nil {
 		return false
 	}
@@ -61,6 +102,7 @@
 		t.log.Warn("fleet_hello_refused", "fleet", hello.Fleet, "from", hello.From, "to", hello.To)
 		return false
 	}
+	t.helloReceived(conn)
 	return conn.SetReadDeadline(time.Time{}) == nil
 }
 
--- a/fleet/rafttransport/transport.go
+++ b/fleet/rafttransport/transport.go
@@ -51,6 +51,8 @@
 	peers map[string]peer   // by name
 	conns map[net.Conn]bool // open connections, which Close closes
 
+	awaitingHello map[net.Conn]time.Time // accepted connections without a Hello, and since when
+
 	sentMessages atomic.Int64
 	sentBytes    atomic.Int64
 }
@@ -73,6 +75,7 @@
 	t := &Transport{
 		options: options, log: options.Logger, listener: listener, ctx: ctx, cancel: cancel,
 		peers: map[string]peer{}, conns: map[net.Conn]bool{},
+		awaitingHello: map[net.Conn]time.Time{},
 	}
 	if t.log == nil {
 		t.log = slog.Default()
@@ -157,6 +160,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	delete(t.conns, conn)
+	delete(t.awaitingHello, conn)
 }
 
 // closeQuietly closes a connection or listener and logs an error at level debug
