--- a/fleet/rafttransport/receiver.go
+++ b/fleet/rafttransport/receiver.go
@@ -30,12 +30,19 @@
 	}
 }
 
-// trackInbound is trackConn for an accepted connection. If there are too many connections, it
-// closes the one that has been without a Hello for the longest time, so that clients that say
-// nothing do not keep a voter out.
+// trackInbound is trackConn for an accepted connection. While there are too many connections, it
+// closes the one that has been without a Hello for the longest time and waits until it has
+// ended, so that clients that say nothing do not keep a voter out.
 func (t *Transport) trackInbound(conn net.Conn) bool {
-	if !t.trackConn(conn) && (!t.closeOldestSilent() || !t.trackConn(conn)) {
-		return false
+	for !t.trackConn(conn) {
+		if t.ctx.Err() != nil {
+			return false
+		}
+		t.closeOldestSilent()
+		select {
+		case <-t.connClosed:
+		case <-time.After(minBackoff):
+		}
 	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -43,9 +50,9 @@
 	return true
 }
 
-// closeOldestSilent closes the connection that has been without a Hello for the longest time. It
-// returns false if there is none.
-func (t *Transport) closeOldestSilent() bool {
+// closeOldestSilent closes the connection that has been without a Hello for the longest time, if
+// there is one.
+func (t *Transport) closeOldestSilent() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	var oldest net.Conn
@@ -55,13 +62,11 @@
 		}
 	}
 	if oldest == nil {
-		return false
+		return
 	}
 	t.closeQuietly(oldest)
 	delete(t.awaitingHello, oldest)
-	delete(t.conns, oldest)
 	t.log.Warn("fleet_connection_reclaimed", "connections", len(t.conns))
-	return true
 }
 
 // helloReceived records that a connection is no longer closed in favour of others.
--- a/fleet/rafttransport/transport.go
+++ b/fleet/rafttransport/transport.go
@@ -52,6 +52,7 @@
 	conns map[net.Conn]bool // open connections, which Close closes
 
 	awaitingHello map[net.Conn]time.Time // accepted connections without a Hello, and since when
+	connClosed    chan struct{}          // receives an element when a connection has closed
 
 	sentMessages atomic.Int64
 	sentBytes    atomic.Int64
@@ -75,7 +76,7 @@
 	t := &Transport{
 		options: options, log: options.Logger, listener: listener, ctx: ctx, cancel: cancel,
 		peers: map[string]peer{}, conns: map[net.Conn]bool{},
-		awaitingHello: map[net.Conn]time.Time{},
+		awaitingHello: map[net.Conn]time.Time{}, connClosed: make(chan struct{}, 1),
 	}
 	if t.log == nil {
 		t.log = slog.Default()
@@ -161,6 +162,10 @@
 	defer t.mu.Unlock()
 	delete(t.conns, conn)
 	delete(t.awaitingHello, conn)
+	select {
+	case t.connClosed <- struct{}{}:
+	default:
+	}
 }
 
 // closeQuietly closes a connection or listener and logs an error at level debug
