Take back the library's bound on bodies: it made the picture worse

Cause: the heads take most of it, and net/http parses them before the middleware is called. Closing such clients for others lets them come again at once, and their heads are parsed anew.

Kept: the fields of a request's header count in the memory that is reserved for it. The picture stays open for the library; a service bounds it by MaxHeaderBytes, ReadTimeout and its listener.

--- a/admission/server.go
+++ b/admission/server.go
@@ -48,7 +48,6 @@
 	stats       counters
 	connections connections
 	workers     workers
-	input       *inputMemory
 }
 
 // New starts a server; Close stops it. The error names the invalid field of the configuration.
@@ -74,7 +73,7 @@
 	core.BackendReady(false, 0)
 	return &Server{
 		cfg: cfg, table: cfg.Routes.Compile(), core: core, stop: stop,
-		workers: workers{jobs: make(chan job), done: ctx.Done()}, input: newInputMemory(cfg.Memory, cfg.Logger),
+		workers: workers{jobs: make(chan job), done: ctx.Done()},
 	}, nil
 }
 
--- a/admission/stats.go
+++ b/admission/stats.go
@@ -17,8 +17,6 @@
 	Gone     uint64 // no response: the caller disconnected, or a framework's timeout cancelled the request
 	Passed   uint64 // matched no rule and no route, and was passed to the handler unchanged
 
-	InputRejected uint64 // of those refused: no memory was left for their bodies
-
 	Runs    uint64 // handler calls started
 	Running int64  // handler calls that have not returned
 	Stuck   int64  // handler calls that were cancelled and have not returned
@@ -27,8 +25,8 @@
 
 // counters holds the values of Stats.
 type counters struct {
-	served, refused, failed, timedOut, rejected, gone, passed, runs, panics, inputRejected atomic.Uint64
-	running, stuck                                                                         atomic.Int64
+	served, refused, failed, timedOut, rejected, gone, passed, runs, panics atomic.Uint64
+	running, stuck                                                          atomic.Int64
 }
 
 // countOutcome counts a request by the kind of its final answer.
@@ -52,6 +50,6 @@
 	return Stats{
 		Served: c.served.Load(), Refused: c.refused.Load(), Failed: c.failed.Load(),
 		TimedOut: c.timedOut.Load(), Rejected: c.rejected.Load(), Gone: c.gone.Load(), Passed: c.passed.Load(),
-		InputRejected: c.inputRejected.Load(), Runs: c.runs.Load(), Running: c.running.Load(), Stuck: c.stuck.Load(), Panics: c.panics.Load(),
+		Runs: c.runs.Load(), Running: c.running.Load(), Stuck: c.stuck.Load(), Panics: c.panics.Load(),
 	}
 }
--- a/admission/wrap.go
+++ b/admission/wrap.go
@@ -87,17 +87,11 @@
 }
 
 // readBodyOrRespond reads a request's body. If the body is too large, it answers the request,
-// counts it as rejected and returns the error. If no memory is left for it, it sheds the request
-// and returns errInputMemory. If the caller's connection failed, it counts
+// counts it as rejected and returns the error. If the caller's connection failed, it counts
 // the request as gone and returns the error.
 func (s *Server) readBodyOrRespond(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	body, err := s.readBody(w, r)
-	if errors.Is(err, errInputMemory) {
-		s.stats.refused.Add(1)
-		s.stats.inputRejected.Add(1)
-		w.Header().Set("Connection", "close") // the rest of the body stays unread
-		shed(w, maxRetryAfter)
-	} else if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
+	body, err := readBody(w, r, s.cfg.MaxBody)
+	if tooLarge := (*http.MaxBytesError)(nil); errors.As(err, &tooLarge) {
 		s.stats.rejected.Add(1)
 		http.Error(w, http.StatusText(http.StatusRequestEntityTooLarge), http.StatusRequestEntityTooLarge)
 	} else if err != nil { // the caller's connection failed while the body was read
@@ -106,20 +100,6 @@
 	return body, err
 }
 
-// readBody reads a request's body within the memory for input.
-func (s *Server) readBody(w http.ResponseWriter, r *http.Request) ([]byte, error) {
-	size := r.ContentLength
-	if size < 0 || size > s.cfg.MaxBody { // unknown, or rejected by readBody
-		size = s.cfg.MaxBody
-	}
-	read, err := s.input.begin(w, size)
-	if err != nil {
-		return nil, err
-	}
-	body, err := readBody(w, r, s.cfg.MaxBody)
-	return body, s.input.end(read, err)
-}
-
 // admit submits a classified request to the core and writes its answer.
 func (s *Server) admit(w http.ResponseWriter, r *http.Request, arrivedAt time.Time, class classification, next http.Handler) {
 	body, err := s.readBodyOrRespond(w, r)
@@ -157,6 +137,21 @@
 	}
 }
 
+// headerFieldBytes is the memory for a field of a request's header beside its bytes.
+const headerFieldBytes = 64
+
+// requestKB returns the memory that a request takes while it waits, in KB: its body and the
+// fields of its header.
+func requestKB(r *http.Request, body []byte) float64 {
+	size := len(body)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value) + headerFieldBytes
+		}
+	}
+	return requestOverheadKB + float64(size)/bytesPerKB
+}
+
 // writeDeadline returns the time by which a request must be answered so that the http.Server
 // can still write the response. That is writeMargin before the end of its WriteTimeout, or
 // half of the WriteTimeout if it is not longer than 2*writeMargin. The result is zero if there
