--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -44,6 +44,7 @@
 //	quincerail_unanswered_at_end_total{reason}  requests without a response when their connection closed
 //	quincerail_discarded_bytes_total{reason}    bytes read and discarded when their connection closed
 //	quincerail_connections{listener}                         open connections, including one that waits for a slot
+//	quincerail_connection_turns_exhausted_total{listener}    times that a connection had to wait because its peer sends too fast
 //	quincerail_input_bytes                                   memory for messages that have not arrived completely
 //	quincerail_input_limit_bytes                             limit on that memory
 //	quincerail_input_reclaimed_total                         connections closed to give their memory for input to others
@@ -188,6 +189,9 @@
 		newCounter("quincerail_connections_over_limit_total", "Connections accepted over the limit to shed their requests, by listener.",
 			labels, func() float64 { return float64(stats().OverLimit) }),
 	)
+	r.registry.MustRegister(newCounter("quincerail_connection_turns_exhausted_total",
+		"Times that a connection had to wait because its peer sends too fast, by listener.",
+		labels, func() float64 { return float64(stats().TurnsExhausted) }))
 	for _, withheld := range guard.WithheldKinds {
 		labels := prometheus.Labels{labelListener: name, labelWithheld: string(withheld)}
 		r.registry.MustRegister(newCounter("quincerail_connections_withheld_total",
--- a/server/input.go
+++ b/server/input.go
@@ -27,8 +27,10 @@
 	}
 }
 
-// limitInput makes the input of a server's connections count against the budget.
-func (s *Server) limitInput(server *transport.Server) {
+// limitClients bounds what a client's connection may take in a turn, and makes the input of all
+// connections count against the budget.
+func (s *Server) limitClients(server *transport.Server) {
+	server.LimitTurns()
 	if s.input != nil {
 		server.LimitInput(s.input.budget)
 	}
--- a/server/listeners.go
+++ b/server/listeners.go
@@ -86,7 +86,7 @@
 // addFrontend adds a frontend with its listener. It does not accept connections yet.
 func (s *Server) addFrontend(key string, l net.Listener, maxConns int, f frontend) {
 	server := transport.NewServer(l, maxConns, f.Serve, f.ReclaimConnections)
-	s.limitInput(server)
+	s.limitClients(server)
 	s.monitorListener(key, server)
 	server.OnAcceptFailures(func(last error, failures int) {
 		s.log.Warn("accept_failed", "listener", key, "failures", failures, "error", last.Error())
@@ -111,7 +111,7 @@
 	s.log.Info("control", "address", l.Addr().String())
 	handler := &admin.CommandHandler{Core: s.core, Serving: s.hasStartedServing}
 	s.commandServer = transport.NewServer(l, admin.MaxCommandConnections, handler.Serve, func() {})
-	s.limitInput(s.commandServer)
+	s.limitClients(s.commandServer)
 	s.monitorListener(controlKey, s.commandServer)
 	return nil
 }
--- a/server/withheld.go
+++ b/server/withheld.go
@@ -57,7 +57,11 @@
 		attributes = append(attributes, string(withheld), count)
 	}
 	attributes = append(attributes, "over_limit", stats.OverLimit-l.reported.OverLimit, "open", stats.Open, "limit", stats.Limit)
+	throttled := stats.TurnsExhausted - l.reported.TurnsExhausted
 	l.reported = stats
+	if throttled > 0 {
+		s.log.Warn("connections_throttled", "listener", l.name, "turns", throttled, "open", stats.Open)
+	}
 	if total > 0 {
 		s.log.Warn("connections_withheld", attributes...)
 	}
--- a/transport/server.go
+++ b/transport/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"os"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"quincerail.example/quincerail/guard"
@@ -47,6 +48,8 @@
 	onAcceptFailures func(lastErr error, failures int)
 	boundWaits       bool         // see BoundWaits
 	inputBudget      *InputBudget // see LimitInput; may be nil
+	limitTurns       bool         // see LimitTurns
+	turnsExhausted   atomic.Int64 // see ServerStats
 
 	// Used only by the goroutine that accepts connections.
 	lastReclaim      time.Time // when reclaimConns last searched
@@ -95,6 +98,10 @@
 // share. LimitInput must be called before Serve.
 func (s *Server) LimitInput(budget *InputBudget) { s.inputBudget = budget }
 
+// LimitTurns bounds what each connection may take in a turn (see turn). LimitTurns must be called
+// before Serve.
+func (s *Server) LimitTurns() { s.limitTurns = true }
+
 // newConn returns the Conn for an accepted connection.
 func (s *Server) newConn(nc net.Conn) *Conn {
 	bufferSize := readBufferSize
@@ -102,7 +109,10 @@
 		bufferSize = initialReadBufferSize
 	}
 	c := newConn(nc, bufferSize)
-	c.inputBudget, c.source.turn.isLimited = s.inputBudget, true
+	c.inputBudget = s.inputBudget
+	if s.limitTurns {
+		c.source.turn.exhausted = &s.turnsExhausted
+	}
 	return c
 }
 
--- a/transport/slots.go
+++ b/transport/slots.go
@@ -13,6 +13,10 @@
 	Limit     int                    // limit on open connections
 	OverLimit int                    // connections that were admitted over the limit so far
 	Withheld  map[guard.Withheld]int // connections that were closed so far because their peers withheld something
+
+	// TurnsExhausted counts the turns that connections have used up so far: what their peers sent
+	// beyond that was read later.
+	TurnsExhausted int
 }
 
 // Stats returns the current counts.
@@ -21,6 +25,7 @@
 	defer s.mu.Unlock()
 	stats := s.stats
 	stats.Open, stats.Limit, stats.Withheld = s.open, s.limit, maps.Clone(s.stats.Withheld)
+	stats.TurnsExhausted = int(s.turnsExhausted.Load())
 	return stats
 }
 
--- a/transport/turn.go
+++ b/transport/turn.go
@@ -1,9 +1,12 @@
 package transport
 
-import "time"
+import (
+	"sync/atomic"
+	"time"
+)
 
-// A turn bounds what one connection that a Server has accepted may take of the process, so that a
-// peer that sends at full speed does not delay the answers to others. Bytes and messages beyond
+// A turn bounds what one connection of a Server with LimitTurns may take of the process, so that
+// a peer that sends at full speed does not delay the answers to others. Bytes and messages beyond
 // the bounds stay unread until the turn is over.
 const (
 	turnDuration    = 20 * time.Millisecond
@@ -18,15 +21,16 @@
 // turn counts what a connection has taken since the turn began. Only the goroutine of Serve uses
 // it.
 type turn struct {
-	isLimited bool // false for connections that this process has opened
+	exhausted *atomic.Int64 // counts the turns that were used up; nil for peers that this process trusts
 	startedAt time.Time
 	messages  int
 	bytes     int
+	isCounted bool // in exhausted
 }
 
 // countMessage counts a message, or bytes that were skipped in place of one.
 func (t *turn) countMessage() {
-	if t.isLimited {
+	if t.exhausted != nil {
 		t.renew()
 		t.messages++
 	}
@@ -34,7 +38,7 @@
 
 // countBytes counts bytes that were read.
 func (t *turn) countBytes(n int) {
-	if t.isLimited {
+	if t.exhausted != nil {
 		t.renew()
 		t.bytes += n
 	}
@@ -43,7 +47,7 @@
 // renew begins a new turn if the current one is over.
 func (t *turn) renew() {
 	if now := time.Now(); now.Sub(t.startedAt) >= turnDuration {
-		*t = turn{isLimited: true, startedAt: now}
+		*t = turn{exhausted: t.exhausted, startedAt: now}
 	}
 }
 
@@ -52,6 +56,10 @@
 	if t.messages < maxTurnMessages && t.bytes < maxTurnBytes {
 		return 0
 	}
+	if !t.isCounted {
+		t.isCounted = true
+		t.exhausted.Add(1)
+	}
 	return max(0, time.Until(t.startedAt.Add(turnDuration)))
 }
 
--- a/transport/turn_test.go
+++ b/transport/turn_test.go
@@ -40,6 +40,7 @@
 					return err
 				})
 			}, func() {})
+			server.LimitTurns()
 			go func() { _ = server.Serve() }()
 			peer := dial(t, listener.Addr())
 			go func() { _, _ = peer.Write(make([]byte, test.size)) }()
