--- a/idempotency/journal/contents.go
+++ b/idempotency/journal/contents.go
@@ -64,6 +64,7 @@
 			contents.UnreadableKeys = append(contents.UnreadableKeys, key)
 			state = unreadableState(key, value.ExpiresAt)
 		}
+		state.Key = key // in the JSON, bytes that are not UTF-8 are replaced
 		contents.States = append(contents.States, state)
 	}
 	return contents
--- a/idempotency/journal/doc.go
+++ b/idempotency/journal/doc.go
@@ -7,8 +7,8 @@
 // A Journal owns its directory, which is the directory of its store, and the format
 // of the store's records:
 //
-//   - "key/" followed by a key: the idempotency.KeyState of the key in JSON. The
-//     record expires at the end of the key's window.
+//   - "key/" followed by a key, which may hold any bytes: the idempotency.KeyState of the
+//     key in JSON. The record expires at the end of the key's window.
 //   - "doubt": an empty value. Keys without a record are in doubt until it expires.
 //
 // # States of a key
--- a/idempotency/state.go
+++ b/idempotency/state.go
@@ -1,12 +1,53 @@
 package idempotency
 
-import "time"
+import (
+	"encoding/json"
+	"time"
+	"unicode/utf8"
+)
 
-// Field is a named part of a payload. It is stored as part of Payload: the tags are part of
-// that format.
+// Field is a named part of a payload. It is stored as part of Payload, in the form of
+// storedField. Its name and value may hold any bytes.
 type Field struct {
-	Name  string `json:"Name"`
-	Value string `json:"Value"`
+	Name  string
+	Value string
+}
+
+// storedField is the JSON of a Field. Bytes that are not UTF-8 are replaced in Name and Value;
+// RawName and RawValue then hold the bytes as they were.
+type storedField struct {
+	Name     string `json:"Name"`
+	Value    string `json:"Value"`
+	RawName  []byte `json:"RawName,omitempty"`
+	RawValue []byte `json:"RawValue,omitempty"`
+}
+
+// MarshalJSON implements json.Marshaler.
+func (f Field) MarshalJSON() ([]byte, error) {
+	stored := storedField{Name: f.Name, Value: f.Value}
+	if !utf8.ValidString(f.Name) {
+		stored.RawName = []byte(f.Name)
+	}
+	if !utf8.ValidString(f.Value) {
+		stored.RawValue = []byte(f.Value)
+	}
+	return json.Marshal(stored)
+}
+
+// UnmarshalJSON implements json.Unmarshaler.
+func (f *Field) UnmarshalJSON(data []byte) error {
+	var stored storedField
+	if err := json.Unmarshal(data, &stored); err != nil {
+		return err
+	}
+	*f = Field{Name: stored.Name, Value: stored.Value}
+	if stored.RawName != nil {
+		f.Name = string(stored.RawName)
+	}
+	if stored.RawValue != nil {
+		f.Value = string(stored.RawValue)
+	}
+	return nil
 }
 
 // Payload is the content of a request or its result. Results are stored with KeyState: the
