--- a/cmd/quincerail/serve.go
+++ b/cmd/quincerail/serve.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"context"
 	"fmt"
 	"log/slog"
 	"os"
@@ -58,8 +57,7 @@
 	signal.Ignore(syscall.SIGPIPE)     // otherwise a log write kills the process once the log's reader has closed the pipe
 	hangups := make(chan os.Signal, 1) // registered before any slow step: an unhandled SIGHUP kills the process
 	signal.Notify(hangups, syscall.SIGHUP)
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
-	defer stop()
+	notice := awaitNotice()
 	operatorFile, err := f.loadOperatorFile()
 	if err != nil {
 		return err
@@ -82,11 +80,23 @@
 		return err
 	}
 	go reloadOnHangup(hangups, f, srv, level, logger)
-	<-ctx.Done()
-	srv.Shutdown()
+	srv.ShutdownFrom(<-notice)
 	return nil
 }
 
+// awaitNotice returns a channel that receives the time at which SIGTERM or an interrupt arrives,
+// which may be while the server starts. Further such signals are ignored.
+func awaitNotice() <-chan time.Time {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt)
+	notice := make(chan time.Time, 1)
+	go func() {
+		<-signals
+		notice <- time.Now()
+	}()
+	return notice
+}
+
 // reloadOnHangup reloads the files on each SIGHUP, also while the server shuts down. If a
 // reload fails, the current configuration stays in use.
 func reloadOnHangup(hangups <-chan os.Signal, f fileFlags, srv *server.Server, level *slog.LevelVar, logger *slog.Logger) {
--- a/server/shutdown.go
+++ b/server/shutdown.go
@@ -34,19 +34,23 @@
 	stateClosing:   "closing",
 }
 
-// Shutdown shuts the server down gracefully after SIGTERM: it tells callers to use other
+// Shutdown is ShutdownFrom for a SIGTERM that has just arrived.
+func (s *Server) Shutdown() { s.ShutdownFrom(time.Now()) }
+
+// ShutdownFrom shuts the server down gracefully after a SIGTERM that arrived at noticedAt, from which
+// the grace and the time until the kill count. That may be before the server was started: it tells callers to use other
 // servers, answers open requests and closes the connections. It returns when the process may
 // exit: when all connections have ended, or else exitMargin before the process may be killed.
 // If package guard does not allow the exit then, Shutdown waits until it does. Shutdown must be
 // called only once.
 //
 // Operators can send commands until the process exits.
-func (s *Server) Shutdown() {
+func (s *Server) ShutdownFrom(noticedAt time.Time) {
 	fleetLeft := s.leaveFleet()
 	if successor := s.successor(); successor != nil {
 		s.handOver(successor)
 	} else {
-		s.drain()
+		s.drain(noticedAt)
 	}
 	s.stop()
 	if s.journal != nil {
@@ -91,8 +95,8 @@
 // entered, because another process holds the socket too. If this process closed its descriptor
 // earlier, a new connection would wait in the accept queue and never be served. It would not be
 // refused, although only a refusal would prove to the caller that its request did not run.
-func (s *Server) drain() {
-	graceEnd, killAt := s.beginDrain()
+func (s *Server) drain(noticedAt time.Time) {
+	graceEnd, killAt := s.beginDrain(noticedAt)
 
 	s.enterPhase(stateNotifying)
 	s.notifyCallers()
@@ -115,11 +119,15 @@
 	s.closeConnections(killAt, accepted, done)
 }
 
-// beginDrain starts the drain of the core. It returns the time until which requests must be
+// beginDrain starts the drain of the core for a notice that arrived at noticedAt, or before that if
+// the process has just been stalled. It returns the time until which requests must be
 // accepted, and the time from which the platform may kill the process.
-func (s *Server) beginDrain() (graceEnd, killAt time.Time) {
+func (s *Server) beginDrain(noticedAt time.Time) (graceEnd, killAt time.Time) {
 	active := s.activeConfig.Load()
-	noticeAt := s.core.DrainNoticeTime() // of SIGTERM
+	noticeAt := s.core.DrainNoticeTime()
+	if noticedAt.Before(noticeAt) {
+		noticeAt = noticedAt
+	}
 	killAt = noticeAt.Add(active.KillDelay())
 	s.log.Info("drain", "stop_in", time.Until(killAt).Round(time.Millisecond).String(),
 		"notice_ago", time.Since(noticeAt).Round(time.Millisecond).String())
