--- a/transport/conn.go
+++ b/transport/conn.go
@@ -90,15 +90,13 @@
 	now := time.Now()
 	src := newSource(nc, now)
 	c := &Conn{
-		netConn: nc, source: src, reader: newReader(src, bufferSize),
+		netConn: nc, source: src, reader: bufio.NewReaderSize(src, bufferSize),
 		createdAt: now, lastActive: now, lingerTimeout: defaultLingerTimeout,
 	}
 	src.hasPartialMessage = c.hasPartialMessage
 	return c
 }
 
-func newReader(src *source, size int) *bufio.Reader { return bufio.NewReaderSize(src, size) }
-
 // SetReceiveTimeouts sets how long the peer may take after its connect to start its first
 // message, and how long an incomplete message may go without another byte. After these times
 // the connection closes with ReadTimeout, but not while pending reports that responses are
--- a/transport/input_budget.go
+++ b/transport/input_budget.go
@@ -240,6 +240,6 @@
 func (c *Conn) resizeReader(size int) {
 	buffered, _ := c.reader.Peek(c.reader.Buffered()) // already buffered
 	c.source.unread = append([]byte(nil), buffered...)
-	c.reader = newReader(c.source, size)
+	c.reader = bufio.NewReaderSize(c.source, size)
 	_, _ = c.reader.Peek(len(buffered)) // reads source.unread, which never fails
 }
