Do not take a socket that was never connected for one that its peer has reset

An emulated socket may have TCP_INFO of a plain one, whose state is that of a reset connection; then every request would be shed. A reset counts only where bytes have arrived.

TestPeerClosed_BeforeRead: closed, half closed, reset, and never connected (true before, now false).

--- a/transport/arrival.go
+++ b/transport/arrival.go
@@ -48,10 +48,15 @@
 
 // PeerClosed reports whether the peer has closed the connection or its write side. Messages that
 // were not read before that are not to be forwarded, because their sender may have left. The
-// result is false if the system does not say.
+// result is false if the system does not say. A socket that has received nothing does not count
+// as reset: where sockets are emulated, it may never have been connected.
 func (c *Conn) PeerClosed() bool {
 	info := tcpInfo(c.netConn)
-	return info != nil && (info.State == unix.BPF_TCP_CLOSE_WAIT || info.State == unix.BPF_TCP_CLOSE)
+	if info == nil {
+		return false
+	}
+	wasReset := info.State == unix.BPF_TCP_CLOSE && info.Bytes_received > 0
+	return wasReset || info.State == unix.BPF_TCP_CLOSE_WAIT
 }
 
 // tcpInfo returns the kernel's information about a TCP connection, or nil if there is none.
