Print what a rollout has compared where a test of it times out

TestRollout_HaltsWorseBuildAtFirstStage failed once beside load without a verdict, and neither the status nor the log says what was counted.

--- a/fleet/rollout_test.go
+++ b/fleet/rollout_test.go
@@ -117,11 +117,21 @@
 	})
 	if err != nil {
 		status, _ := r.runOperatorCommand("v1", "rollout status")
-		r.t.Fatalf("%v\n%s", err, status)
+		r.t.Fatalf("%v\n%s\n%s", err, status, r.comparison())
 	}
 	return l
 }
 
+// comparison describes what the rollout's tests have counted and compared, for failures.
+func (r testFleet) comparison() string {
+	status, err := r.ChangeStatus("v1")
+	if err != nil {
+		return err.Error()
+	}
+	state := status.Record.State
+	return fmt.Sprintf("tests: %+v\nhistories: %+v\nslow from: %v", state.Tests, state.Histories, state.SlowBound)
+}
+
 // loggedPhases returns the phases and stages of the rollout in the order of the voters'
 // logs. All voters must have logged the same for an entry.
 func (r testFleet) loggedPhases() (out []string) {
