--- a/idempotency/journal/journal.go
+++ b/idempotency/journal/journal.go
@@ -19,8 +19,6 @@
 	eventKeysDegraded      = "keys_degraded"
 	eventKeysHealthy       = "keys_healthy"
 	eventMaintenanceFailed = "keys_maintenance_failed"
-	eventKeysFull          = "keys_full"
-	eventKeysAccepting     = "keys_accepting"
 )
 
 // Options configure a Journal. Dir and LongestWindow are required.
@@ -62,7 +60,6 @@
 	s, stored, err := store.Open(store.Options{
 		Dir: options.Dir, Sync: options.Sync, Now: options.Now,
 		OnHealth: func(err error) { logHealth(options.Logger, err) },
-		OnFull:   func(isFull bool) { logFull(options.Logger, isFull) },
 		OnMaintenanceError: func(err error) {
 			options.Logger.Warn(eventMaintenanceFailed, "error", err.Error())
 		},
@@ -112,10 +109,6 @@
 	return <-durable
 }
 
-// LiveBytes returns the size of the records on disk that have not expired, as store.LiveBytes
-// does.
-func (j *Journal) LiveBytes() int64 { return j.store.LiveBytes() }
-
 // Close waits until all recorded states are written and closes the journal.
 func (j *Journal) Close() error { return j.store.Close() }
 
@@ -128,15 +121,6 @@
 	logger.Info(eventKeysHealthy)
 }
 
-// logFull logs that the store is full, so that new keys are refused, or that it takes keys again.
-func logFull(logger *slog.Logger, isFull bool) {
-	if isFull {
-		logger.Error(eventKeysFull)
-		return
-	}
-	logger.Info(eventKeysAccepting)
-}
-
 func logUnreadable(logger *slog.Logger, contents *Contents) {
 	for _, key := range contents.UnreadableKeys {
 		logger.Warn(eventKeysUnreadable, "key", keyRecordPrefix+key)
--- a/metrics/metrics.go
+++ b/metrics/metrics.go
@@ -45,7 +45,6 @@
 //	quincerail_discarded_bytes_total{reason}    bytes read and discarded when their connection closed
 //	quincerail_connections{listener}                         open connections, including one that waits for a slot
 //	quincerail_connection_turns_exhausted_total{listener}    times that a connection had to wait because its peer sends too fast
-//	quincerail_keys_live_bytes                               size of the records of keys on disk that have not expired
 //	quincerail_input_bytes                                   memory for messages that have not arrived completely
 //	quincerail_input_limit_bytes                             limit on that memory
 //	quincerail_input_reclaimed_total                         connections closed to give their memory for input to others
@@ -68,7 +67,7 @@
 //	quincerail_fleet_answers{kind}          final responses of the whole fleet, as far as this member knows
 //	quincerail_fleet_stale_total            updates of the dependency's health that were rejected for a stale fencing token
 //
-// RegisterFleet, RegisterRules, RegisterListener, RegisterInput, RegisterKeys and the first SetClasses must be called before
+// RegisterFleet, RegisterRules, RegisterListener, RegisterInput and the first SetClasses must be called before
 // the first request. Only one goroutine at a time may call SetClasses. The other methods may be called
 // from any goroutine.
 type Recorder struct {
@@ -201,12 +200,6 @@
 	}
 }
 
-// RegisterKeys adds the collector of the keys on disk. liveBytes returns their current size.
-func (r *Recorder) RegisterKeys(liveBytes func() int64) {
-	r.registry.MustRegister(newGauge("quincerail_keys_live_bytes", "Size of the records of keys on disk that have not expired.",
-		nil, func() float64 { return float64(liveBytes()) }))
-}
-
 // RegisterInput adds the collectors of the memory for the connections' input. stats returns its
 // current counts.
 func (r *Recorder) RegisterInput(stats func() transport.InputStats) {
--- a/server/start.go
+++ b/server/start.go
@@ -153,9 +153,6 @@
 		return recovered, err
 	}
 	s.journal = opened
-	if s.recorder != nil {
-		s.recorder.RegisterKeys(opened.LiveBytes)
-	}
 	return recovered, nil
 }
 
--- a/store/doc.go
+++ b/store/doc.go
@@ -52,13 +52,6 @@
 // failed proves nothing. If the repair succeeds, the store is healthy again without
 // a restart.
 //
-// # Limit on the size
-//
-// A write that would make the live records exceed MaxBytes is rejected with ErrFull. While they
-// exceed half of it, the writer removes expired records from the index once a second, when it is
-// woken by a write or a rejected one, so that a full store takes writes again as its records
-// expire, without a restart. Their bytes leave the disk with the next compaction.
-//
 // # Compaction
 //
 // After sealing a segment, the writer compacts the sealed segments if their total
--- a/store/store.go
+++ b/store/store.go
@@ -39,11 +39,6 @@
 	// active segment is repaired. It must not block. It may be nil.
 	OnHealth func(error)
 
-	// OnFull is called by the writer goroutine: with true when a write was rejected because the
-	// live records would exceed MaxBytes, and with false when writes are accepted again. It must
-	// not block. It may be nil.
-	OnFull func(isFull bool)
-
 	// OnMaintenanceError is called by the writer goroutine when it could not start a new
 	// segment or compact the sealed ones; the store tries again later. It must not block.
 	// It may be nil.
@@ -63,9 +58,6 @@
 	if o.OnHealth == nil {
 		o.OnHealth = func(error) {}
 	}
-	if o.OnFull == nil {
-		o.OnFull = func(bool) {}
-	}
 	if o.OnMaintenanceError == nil {
 		o.OnMaintenanceError = func(error) {}
 	}
@@ -87,7 +79,6 @@
 	wake    chan struct{} // signals the writer that the queue is not empty
 	closed  bool
 	health  health
-	full    fullState
 
 	indexMu sync.Mutex // held throughout a compaction
 	index   recordIndex
@@ -189,9 +180,7 @@
 	return s.index.len()
 }
 
-// LiveBytes returns the total size on disk of the records that the index points at. Expired
-// records count until the writer has removed them from the index, which it does from half of
-// MaxBytes on.
+// LiveBytes returns the total size on disk of the records that the index points at.
 func (s *Store) LiveBytes() int64 { return s.index.liveBytes.Load() }
 
 // Close writes the queued records and closes the store. Further calls have no effect.
--- a/store/writer.go
+++ b/store/writer.go
@@ -27,24 +27,19 @@
 	if s.health.rejectsAt(time.Now()) {
 		return s.health.failure
 	}
-	if s.recordUse(w.record.encodedSize()) {
+	if live := s.LiveBytes(); live+w.record.encodedSize() > s.options.MaxBytes {
 		return fmt.Errorf("%w: record of %d bytes for key %.64q, %d live bytes, limit %d bytes",
-			ErrFull, w.record.encodedSize(), w.record.key, s.LiveBytes(), s.options.MaxBytes)
+			ErrFull, w.record.encodedSize(), w.record.key, live, s.options.MaxBytes)
 	}
 	if err := w.record.checkSize(); err != nil {
 		return err
 	}
 	s.queue = append(s.queue, w)
-	s.wakeWriter()
-	return nil
-}
-
-// wakeWriter wakes the writer goroutine. The caller holds queueMu, and the store is not closed.
-func (s *Store) wakeWriter() {
 	select {
 	case s.wake <- struct{}{}:
 	default: // a wake-up is already pending
 	}
+	return nil
 }
 
 func (s *Store) takeQueue() []pendingWrite {
@@ -69,7 +64,6 @@
 // flush writes the queued records as one group and calls their done functions. It
 // encodes the records into buffer and returns the buffer for reuse.
 func (s *Store) flush(buffer []byte) []byte {
-	s.expireRecords()
 	group := s.takeQueue()
 	if len(group) == 0 {
 		return buffer
